--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3
+VENV := .venv
+RUN := $(VENV)/bin
+ARGS ?=
+
+.PHONY: setup serve test check scenarios generate binary bench capacity replay
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(RUN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(RUN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+setup: $(VENV)/.installed
+
+serve: setup
+	$(RUN)/python -m local.serve $(ARGS)
+
+check: setup
+	$(RUN)/black --check --quiet src stand_ins local measure tests
+	$(RUN)/ruff check --quiet .
+	$(RUN)/mypy
+
+scenarios: setup
+	$(RUN)/behave tests $(ARGS)
+
+test: check
+	$(RUN)/behave tests $(ARGS) ; status=$$? ; cat .test-counts ; exit $$status
+
+generate: setup
+	$(RUN)/python -W ignore -m cactusshunt.schema.generate
+	$(RUN)/black --quiet src/cactusshunt/schema/generated
--- /dev/null
+++ b/local/__init__.py
@@ -0,0 +1,3 @@
+"""Local deployment for newcomers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements of the real code against the stand-ins."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusshunt/console/__init__.py
@@ -0,0 +1,3 @@
+"""Command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusshunt/console/application.py
@@ -0,0 +1,31 @@
+"""Command line application."""
+
+from __future__ import annotations
+
+import typer
+
+from cactusshunt.console.commands import check
+from cactusshunt.console.commands import control
+from cactusshunt.console.commands import dump
+from cactusshunt.console.commands import entry
+from cactusshunt.console.commands import settings
+from cactusshunt.console.commands import version
+
+application = typer.Typer(
+    name="cactusshunt",
+    help="Serves many models from a shared pool of accelerators.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+application.command(name="entry")(entry.run_entry)
+application.command(name="control")(control.run_control)
+application.command(name="check")(check.check_file)
+application.command(name="dump")(dump.print_dump)
+application.add_typer(settings.application, name="settings")
+application.command(name="version")(version.print_version)
+
+
+def main() -> None:
+    """Run the command line."""
+    application()
--- /dev/null
+++ b/src/cactusshunt/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""One command a module."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusshunt/decisions/adoption.py
@@ -0,0 +1,106 @@
+"""Which settings are in force at this node; each subject's version only grows."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from cactusshunt.decisions.subtree import judge_subtree
+from cactusshunt.schema.generated.messages import SubjectVersion
+from cactusshunt.schema.generated.messages import Subtree
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cactusshunt.exceptions import SettingsError
+
+
+class Verdict(Enum):
+    """What became of a subtree that was offered."""
+
+    ADOPTED = "adopted"
+    CURRENT = "current"
+    STALE = "stale"
+    REJECTED = "rejected"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Judgement:
+    """Verdict on one offered subtree, with the errors of a rejected one."""
+
+    verdict: Verdict
+    errors: tuple[SettingsError, ...] = ()
+
+
+def version_of(subtree: Subtree) -> tuple[int, int]:
+    """Return the ordering key of a subtree: generation, then store revision."""
+    return (subtree.generation, subtree.revision)
+
+
+class AdoptedSettings:
+    """Accepted subtree of each subject; owned by the control process."""
+
+    def __init__(self) -> None:
+        self._subtrees: dict[str, Subtree] = {}
+        self._highest_store_revision = 0
+        self._store_regressed_to: int | None = None
+
+    @property
+    def subtrees(self) -> list[Subtree]:
+        """Return the subtrees in force, by subject."""
+        return [self._subtrees[subject] for subject in sorted(self._subtrees)]
+
+    @property
+    def store_regressed_to(self) -> int | None:
+        """Return the store's revision if it is older than one already seen, else ``None``."""
+        return self._store_regressed_to
+
+    def get(self, subject: str) -> Subtree | None:
+        """Return the subtree in force for a subject."""
+        return self._subtrees.get(subject)
+
+    def offer(self, subtree: Subtree) -> Judgement:
+        """Adopt a subtree if it is valid and newer than the one in force."""
+        current = self._subtrees.get(subtree.subject)
+        if current is not None and version_of(subtree) == version_of(current):
+            return Judgement(verdict=Verdict.CURRENT)
+        if current is not None and version_of(subtree) < version_of(current):
+            return Judgement(verdict=Verdict.STALE)
+        errors = judge_subtree(subtree.subject, subtree.documents)
+        if errors:
+            return Judgement(verdict=Verdict.REJECTED, errors=tuple(errors))
+        self._subtrees[subtree.subject] = subtree
+        return Judgement(verdict=Verdict.ADOPTED)
+
+    def observe_store_revision(self, revision: int) -> bool:
+        """Record the store's revision; return ``False`` if the store became older."""
+        if revision < self._highest_store_revision:
+            self._store_regressed_to = revision
+            return False
+        self._highest_store_revision = revision
+        self._store_regressed_to = None
+        return True
+
+    def versions(self) -> list[SubjectVersion]:
+        """Return what a digest says of the settings in force."""
+        return [
+            SubjectVersion(
+                subject=subtree.subject,
+                generation=subtree.generation,
+                revision=subtree.revision,
+            )
+            for subtree in self.subtrees
+        ]
+
+    def find_newer(self, versions: Iterable[SubjectVersion]) -> list[str]:
+        """Return the subjects of which a peer has a newer version."""
+        return [
+            version.subject
+            for version in versions
+            if (version.generation, version.revision) > self._version(version.subject)
+        ]
+
+    def _version(self, subject: str) -> tuple[int, int]:
+        subtree = self._subtrees.get(subject)
+        return version_of(subtree) if subtree is not None else (-1, -1)
--- /dev/null
+++ b/src/cactusshunt/decisions/attempt.py
@@ -0,0 +1,99 @@
+"""State table of one attempt at an upstream and what its end tells the caller."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class AttemptState(Enum):
+    """Where an attempt stands."""
+
+    QUEUED = "queued"
+    CONNECTING = "connecting"
+    SENT = "sent"
+    STREAMING = "streaming"
+    DONE = "done"
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    LOST = "lost"
+    BROKEN = "broken"
+
+
+class AttemptEvent(Enum):
+    """What can happen to an attempt."""
+
+    ADMITTED = "admitted"
+    CONNECTED = "connected"
+    CONNECT_FAILED = "connect_failed"
+    GIVEN_UP = "given_up"
+    REFUSAL = "refusal"
+    FIRST_BYTE = "first_byte"
+    LAST_BYTE = "last_byte"
+    CONNECTION_LOST = "connection_lost"
+    SILENCE = "silence"
+    MISMATCH = "mismatch"
+
+
+class Outcome(Enum):
+    """What a caller is told of a request that has no answer."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+
+
+_TRANSITIONS: dict[tuple[AttemptState, AttemptEvent], AttemptState] = {
+    (AttemptState.QUEUED, AttemptEvent.ADMITTED): AttemptState.CONNECTING,
+    (AttemptState.QUEUED, AttemptEvent.GIVEN_UP): AttemptState.NOT_SENT,
+    (AttemptState.CONNECTING, AttemptEvent.CONNECTED): AttemptState.SENT,
+    (AttemptState.CONNECTING, AttemptEvent.CONNECT_FAILED): AttemptState.NOT_SENT,
+    (AttemptState.CONNECTING, AttemptEvent.GIVEN_UP): AttemptState.NOT_SENT,
+    (AttemptState.SENT, AttemptEvent.REFUSAL): AttemptState.REFUSED,
+    (AttemptState.SENT, AttemptEvent.FIRST_BYTE): AttemptState.STREAMING,
+    (AttemptState.SENT, AttemptEvent.CONNECTION_LOST): AttemptState.LOST,
+    (AttemptState.SENT, AttemptEvent.SILENCE): AttemptState.LOST,
+    (AttemptState.SENT, AttemptEvent.MISMATCH): AttemptState.LOST,
+    (AttemptState.SENT, AttemptEvent.GIVEN_UP): AttemptState.LOST,
+    (AttemptState.STREAMING, AttemptEvent.LAST_BYTE): AttemptState.DONE,
+    (AttemptState.STREAMING, AttemptEvent.CONNECTION_LOST): AttemptState.BROKEN,
+    (AttemptState.STREAMING, AttemptEvent.SILENCE): AttemptState.BROKEN,
+    (AttemptState.STREAMING, AttemptEvent.MISMATCH): AttemptState.BROKEN,
+    (AttemptState.STREAMING, AttemptEvent.GIVEN_UP): AttemptState.BROKEN,
+}
+
+_OUTCOMES = {
+    AttemptState.NOT_SENT: Outcome.NOT_RUN,
+    AttemptState.REFUSED: Outcome.NOT_RUN,
+    AttemptState.LOST: Outcome.UNKNOWN,
+    AttemptState.BROKEN: Outcome.UNKNOWN,
+}
+
+FINAL_STATES = frozenset({AttemptState.DONE, *_OUTCOMES})
+
+
+def advance_attempt(state: AttemptState, event: AttemptEvent) -> AttemptState:
+    """Return the state after an event; an event with no row in the table changes nothing."""
+    return _TRANSITIONS.get((state, event), state)
+
+
+def outcome_of(state: AttemptState) -> Outcome:
+    """Return what an attempt that ended without an answer says of the request.
+
+    Any state but those in which no byte can have left, or the upstream itself refused, is
+    unknown.
+    """
+    return _OUTCOMES.get(state, Outcome.UNKNOWN)
+
+
+def may_send_again(state: AttemptState, *, repeatable: bool) -> bool:
+    """Tell whether another attempt is allowed after one that ended in ``state``."""
+    if state is AttemptState.DONE:
+        return False
+    return repeatable or outcome_of(state) is Outcome.NOT_RUN
+
+
+def combine_outcomes(states: list[AttemptState]) -> Outcome:
+    """Return what all attempts of one request together tell its caller."""
+    if all(outcome_of(state) is Outcome.NOT_RUN for state in states):
+        return Outcome.NOT_RUN
+    return Outcome.UNKNOWN
--- /dev/null
+++ b/src/cactusshunt/decisions/lease.py
@@ -0,0 +1,42 @@
+"""Lease of an availability zone: until when its holder may give orders."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+
+
+@dataclass(frozen=True, kw_only=True)
+class ZoneLease:
+    """This process's view of the lease of its zone.
+
+    ``fence`` is the store's creation revision of the lease key, which grows with each holder.
+    ``valid_until`` is in Unix seconds of this VM's clock, and already less the clock error.
+    """
+
+    lease_id: int = 0
+    fence: int = 0
+    valid_until: float = 0.0
+
+    def is_held(self, now: float) -> bool:
+        """Tell whether this process may give orders."""
+        return self.fence > 0 and now < self.valid_until
+
+
+def grant_lease(
+    *, lease_id: int, fence: int, asked_at: float, ttl_s: float, clock_error_s: float
+) -> ZoneLease:
+    """Return a lease that was granted; it counts from the moment of asking."""
+    return ZoneLease(lease_id=lease_id, fence=fence, valid_until=asked_at + ttl_s - clock_error_s)
+
+
+def renew_lease(
+    lease: ZoneLease, *, asked_at: float, ttl_s: float, clock_error_s: float
+) -> ZoneLease:
+    """Return the lease after a renewal that the store confirmed."""
+    return replace(lease, valid_until=max(lease.valid_until, asked_at + ttl_s - clock_error_s))
+
+
+def lose_lease() -> ZoneLease:
+    """Return the state without a lease."""
+    return ZoneLease()
--- /dev/null
+++ b/src/cactusshunt/decisions/ledger.py
@@ -0,0 +1,193 @@
+"""Memory ledger of one engine: what it may hold at worst, and which orders are allowed.
+
+The record is written to the store by compare-and-swap before its pending order is sent, so a
+former holder of the zone's lease can send nothing that its successor does not count. Recording
+the intent before its effect follows "Treat Agent Tool Calls as a Commit Protocol" (section
+"Sequence model: intent before effect"); ``docs/design/memory.md`` has the measurement.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from cactusshunt.decisions.names import base_item_of
+from cactusshunt.decisions.names import is_adapter
+from cactusshunt.exceptions import LedgerError
+from cactusshunt.schema.generated.messages import EngineRecord
+from cactusshunt.schema.generated.messages import EngineReport
+from cactusshunt.schema.generated.messages import Order
+from cactusshunt.schema.generated.messages import Resident
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+def open_record(report: EngineReport, availability_zone: str) -> EngineRecord:
+    """Return the first record of an engine, from its own report."""
+    return EngineRecord(
+        engine=report.engine,
+        availability_zone=availability_zone,
+        capacity_mib=report.capacity_mib,
+        fence=report.highest_fence,
+        incarnation=report.incarnation,
+        resident=_held_by(report),
+        reported_at=report.taken_at,
+    )
+
+
+def possible_memory_mib(record: EngineRecord) -> int:
+    """Return the most memory in MiB that the engine can hold from what is known of it.
+
+    Counts what is resident, what is being unloaded until the engine confirms it, and each load
+    that was ordered and may still arrive.
+    """
+    possible = {resident.item: resident.memory_mib for resident in record.resident}
+    for order in open_orders(record):
+        if order.action == "load":
+            possible.setdefault(order.item, order.memory_mib)
+    return sum(possible.values())
+
+
+def free_memory_mib(record: EngineRecord) -> int:
+    """Return the memory in MiB that no resident and no open order can take."""
+    return record.capacity_mib - possible_memory_mib(record)
+
+
+def open_orders(record: EngineRecord) -> list[Order]:
+    """Return each order that may still reach the engine."""
+    pending = [record.pending] if record.pending is not None else []
+    return [*pending, *record.lingering]
+
+
+def resident_items(record: EngineRecord) -> set[str]:
+    """Return the names of the items in the engine's memory."""
+    return {resident.item for resident in record.resident}
+
+
+def record_order(record: EngineRecord, order: Order) -> Result[EngineRecord, LedgerError]:
+    """Return the record with ``order`` pending, to be stored before the order is sent."""
+    reason = _find_objection(record, order)
+    if reason is not None:
+        return Error(LedgerError(reason=reason, remedy="Plan again from the newest record."))
+    return Ok(replace(record, fence=order.fence, pending=order))
+
+
+def replace_order(record: EngineRecord, order: Order) -> Result[EngineRecord, LedgerError]:
+    """Return the record with an unacknowledged order superseded by one of a higher fence.
+
+    Only of use for engines that check fences: there, accepting the new order ends the old one, so
+    the zone need not wait for the old order's last possible arrival. The memory of both is counted.
+    """
+    if record.pending is None:
+        return record_order(record, order)
+    moved = replace(record, pending=None, lingering=[*record.lingering, record.pending])
+    return record_order(moved, order)
+
+
+def withdraw_order(record: EngineRecord, order_id: str, *, sent: bool) -> EngineRecord:
+    """Return the record without a pending order that was refused or never sent.
+
+    A refused order that was sent lingers, since a copy of it may still arrive.
+    """
+    pending = record.pending
+    if pending is None or pending.order_id != order_id:
+        return record
+    lingering = [*record.lingering, pending] if sent else record.lingering
+    return replace(record, pending=None, lingering=lingering)
+
+
+def settle_record(
+    record: EngineRecord, report: EngineReport, *, clock_error_s: float
+) -> EngineRecord:
+    """Return the record after an engine's report; an older report changes nothing.
+
+    A pending order is settled by the engine's acknowledgement, or by a report taken after the last
+    moment at which the order could arrive. A settled order lingers until that moment, because a
+    copy of it may still arrive, also at an engine that lost its fencing token in a restart.
+    """
+    if report.taken_at <= record.reported_at:
+        return record
+    pending = record.pending
+    lingering = list(record.lingering)
+    if pending is not None and _is_settled(pending, report, clock_error_s):
+        lingering.append(pending)
+        pending = None
+    return replace(
+        record,
+        capacity_mib=report.capacity_mib,
+        incarnation=report.incarnation,
+        resident=_held_by(report),
+        pending=pending,
+        lingering=[order for order in lingering if not _is_over(order, report, clock_error_s)],
+        reported_at=report.taken_at,
+    )
+
+
+def _held_by(report: EngineReport) -> list[Resident]:
+    held = {resident.item: resident for resident in (*report.loading, *report.resident)}
+    return [held[item] for item in sorted(held)]
+
+
+def _is_settled(order: Order, report: EngineReport, clock_error_s: float) -> bool:
+    """Tell whether the order's effect is known from the report."""
+    if order.order_id in report.settled_orders:
+        return True
+    if any(resident.item == order.item for resident in report.loading):
+        return False
+    return _is_over(order, report, clock_error_s)
+
+
+def _is_over(order: Order, report: EngineReport, clock_error_s: float) -> bool:
+    """Tell whether no copy of the order can arrive after the report."""
+    return report.taken_at > order.arrives_before + clock_error_s
+
+
+def _find_objection(record: EngineRecord, order: Order) -> str | None:
+    if record.pending is not None:
+        return f"Order {record.pending.order_id} to {record.engine} is not settled."
+    if order.fence <= record.fence:
+        return f"Fencing token {order.fence} is not above {record.fence}."
+    if any(_contradicts(lingering, order) for lingering in record.lingering):
+        return f"An opposite order for {order.item} may still arrive at {record.engine}."
+    if order.action == "load":
+        return _find_load_objection(record, order)
+    return _find_unload_objection(record, order)
+
+
+def _contradicts(lingering: Order, order: Order) -> bool:
+    return lingering.item == order.item and lingering.action != order.action
+
+
+def _find_load_objection(record: EngineRecord, order: Order) -> str | None:
+    if order.item in resident_items(record):
+        return f"{order.item} is already in the memory of {record.engine}."
+    if order.memory_mib > free_memory_mib(record):
+        return (
+            f"{order.item} needs {order.memory_mib} MiB and {record.engine} may have only "
+            f"{free_memory_mib(record)} MiB free."
+        )
+    return None
+
+
+def _find_unload_objection(record: EngineRecord, order: Order) -> str | None:
+    if order.item not in resident_items(record):
+        return f"{order.item} is not in the memory of {record.engine}."
+    if is_adapter(order.item):
+        return None
+    if any(_depends_on(other, order.item) for other in _possible_items(record)):
+        return f"Adapters of {order.item} are still in the memory of {record.engine}."
+    return None
+
+
+def _possible_items(record: EngineRecord) -> Iterable[str]:
+    yield from resident_items(record)
+    yield from (order.item for order in open_orders(record) if order.action == "load")
+
+
+def _depends_on(item: str, base_item: str) -> bool:
+    return is_adapter(item) and base_item_of(item) == base_item
--- /dev/null
+++ b/src/cactusshunt/decisions/placement_input.py
@@ -0,0 +1,93 @@
+"""What the planner of one availability zone knows when it plans."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from cactusshunt.decisions.ledger import free_memory_mib
+from cactusshunt.decisions.ledger import resident_items
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from cactusshunt.decisions.catalogue import Item
+    from cactusshunt.schema.generated.messages import EngineRecord
+    from cactusshunt.schema.generated.settings import Objective
+
+
+@dataclass(frozen=True, kw_only=True)
+class EngineView:
+    """One engine of the zone; ``available`` is false while it is leaving or not heard."""
+
+    record: EngineRecord
+    slots: int
+    available: bool = True
+
+    @property
+    def name(self) -> str:
+        """Return the engine's VM name."""
+        return self.record.engine
+
+    @property
+    def can_take_order(self) -> bool:
+        """Tell whether a new order may be recorded now."""
+        return self.available and self.record.pending is None
+
+    def holds(self, item: str) -> bool:
+        """Tell whether an item is resident and not being unloaded."""
+        pending = self.record.pending
+        if pending is not None and pending.action == "unload" and pending.item == item:
+            return False
+        return item in resident_items(self.record)
+
+    def will_hold(self, item: str) -> bool:
+        """Tell whether an item is resident or ordered."""
+        pending = self.record.pending
+        if pending is not None and pending.action == "load" and pending.item == item:
+            return True
+        return self.holds(item)
+
+    def free_mib(self) -> int:
+        """Return the memory in MiB that an order may use."""
+        return free_memory_mib(self.record)
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlacementInput:
+    """State of one zone at one moment.
+
+    ``demand`` is the expected arrivals per second by target, ``service_s`` the slot-seconds one
+    request takes, ``remote_holders`` the number of reachable replicas in other zones by item.
+    """
+
+    availability_zone: str
+    reachable_zones: frozenset[str]
+    items: Mapping[str, Item]
+    engines: tuple[EngineView, ...]
+    objective: Objective
+    now: float
+    demand: Mapping[str, float] = field(default_factory=dict)
+    service_s: Mapping[str, float] = field(default_factory=dict)
+    remote_holders: Mapping[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlannedOrder:
+    """An order that is worth giving; ``gain`` in requests served in time, less its price."""
+
+    engine: str
+    action: str
+    item: str
+    memory_mib: int
+    gain: float
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Plan:
+    """Orders by falling gain, and the targets that no engine in reach can hold."""
+
+    orders: tuple[PlannedOrder, ...] = ()
+    out_of_reach: tuple[str, ...] = ()
--- /dev/null
+++ b/src/cactusshunt/decisions/upstream_state.py
@@ -0,0 +1,54 @@
+"""What routing is told of an upstream, in a form that changes seldom."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from cactusshunt.schema.generated.messages import UpstreamState
+
+if TYPE_CHECKING:
+    from cactusshunt.schema.generated.messages import EngineReport
+    from cactusshunt.schema.generated.messages import Vm
+
+LOAD_STEPS = 8  # a load level is running and waiting work in eighths of the slots
+HIGHEST_LEVEL = 32
+SERVICE_SLOTS = 256  # plain services report no limit
+
+
+def describe_engine(vm: Vm, report: EngineReport, *, leaving: bool) -> UpstreamState:
+    """Return the state of an engine that was heard."""
+    slots = max(1, report.slots)
+    level = (report.running + report.waiting) * LOAD_STEPS // slots
+    unloading = set(report.unloading)
+    return UpstreamState(
+        vm=vm.vm,
+        role="engine",
+        kind=vm.kind,
+        address=vm.address,
+        availability_zone=vm.availability_zone,
+        leaving=vm.leaving or leaving or report.draining,
+        items=sorted(r.item for r in report.resident if r.item not in unloading),
+        load_level=min(level, HIGHEST_LEVEL),
+        slots=slots,
+    )
+
+
+def describe_unheard(vm: Vm, before: UpstreamState | None, *, leaving: bool) -> UpstreamState:
+    """Return the state of an upstream without a report: the last known one, as stale.
+
+    A plain service gives no reports and is never stale.
+    """
+    if before is not None:
+        stale = vm.role == "engine"
+        return replace(before, leaving=vm.leaving or leaving, stale=stale, address=vm.address)
+    return UpstreamState(
+        vm=vm.vm,
+        role="service" if vm.role == "service" else "engine",
+        kind=vm.kind,
+        address=vm.address,
+        availability_zone=vm.availability_zone,
+        leaving=vm.leaving or leaving,
+        slots=SERVICE_SLOTS if vm.role == "service" else 1,
+        stale=vm.role == "engine",
+    )
--- /dev/null
+++ b/src/cactusshunt/decisions/weight_slots.py
@@ -0,0 +1,67 @@
+"""Slots that hold all zones together to the weight store's rate and concurrency.
+
+There are as many slots as loads allowed at once. A slot is taken in the same transaction as the
+order that needs it and is not used again before ``loads_at_once / loads_per_second`` seconds have
+passed, so all slots together keep the rate without a coordinator.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from cactusshunt.decisions.rendezvous import hash_score
+from cactusshunt.schema.generated.messages import SlotRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from cactusshunt.schema.generated.settings import WeightStore
+
+
+LOAD_LIMIT_S = 300.0  # a load that takes longer gives its slot to any zone that asks
+
+
+def choose_slot(
+    slots: Mapping[int, SlotRecord],
+    limits: WeightStore,
+    *,
+    availability_zone: str,
+    now: float,
+    clock_error_s: float,
+) -> int | None:
+    """Return a slot that may be taken, or ``None``; zones prefer different slots."""
+    free = [
+        number
+        for number in range(limits.loads_at_once)
+        if _is_free(slots.get(number), now - clock_error_s)
+    ]
+    if not free:
+        return None
+    return max(free, key=lambda number: hash_score(availability_zone, str(number)))
+
+
+def take_slot(
+    limits: WeightStore, *, availability_zone: str, engine: str, order_id: str, now: float
+) -> SlotRecord:
+    """Return the record of a slot taken for an order."""
+    return SlotRecord(
+        availability_zone=availability_zone,
+        engine=engine,
+        order_id=order_id,
+        reusable_at=now + limits.loads_at_once / limits.loads_per_second,
+        reclaimable_at=now + LOAD_LIMIT_S,
+    )
+
+
+def release_slot(slot: SlotRecord) -> SlotRecord:
+    """Return the record of a slot whose load has ended."""
+    return replace(slot, released=True)
+
+
+def _is_free(slot: SlotRecord | None, now: float) -> bool:
+    if slot is None:
+        return True
+    if slot.released:
+        return now >= slot.reusable_at
+    return now >= slot.reclaimable_at
--- /dev/null
+++ b/src/cactusshunt/edges/__init__.py
@@ -0,0 +1,3 @@
+"""Ports to outside systems with one adapter each."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusshunt/edges/body.py
@@ -0,0 +1,38 @@
+"""Request bodies held in memory."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import succeed
+from twisted.web.iweb import IBodyProducer
+from zope.interface import implementer
+
+if TYPE_CHECKING:
+    from twisted.internet.interfaces import IConsumer
+
+
+@implementer(IBodyProducer)
+class BytesProducer:
+    """Writes a body that is already in memory; remembers whether it was written."""
+
+    def __init__(self, *, body: bytes) -> None:
+        self._body = body
+        self.length = len(body)
+        self.written = False
+
+    def startProducing(self, consumer: IConsumer) -> Deferred[None]:  # noqa: N802
+        """Write the body at once."""
+        self.written = True
+        consumer.write(self._body)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing; the body was written at once."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Do nothing; the body was written at once."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing; the body was written at once."""
--- /dev/null
+++ b/src/cactusshunt/edges/store.py
@@ -0,0 +1,349 @@
+"""Port to the platform's key-value service and its adapter for the etcd v3 JSON gateway.
+
+Source of the protocol: the etcd v3 API as served over HTTP and JSON (``/v3/kv``, ``/v3/lease``,
+``/v3/watch``).
+"""
+
+from __future__ import annotations
+
+import base64
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Protocol
+
+import msgspec
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from cactusshunt.edges.store_watch import StoreWatch
+from cactusshunt.exceptions import CompareFailedError
+from cactusshunt.exceptions import StoreError
+from cactusshunt.exceptions import StoreOutcomeUnknownError
+from cactusshunt.exceptions import StoreUnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from twisted.internet.base import ReactorBase
+
+    from cactusshunt.edges.http_client import HttpClient
+
+ABSENT = 0  # modification revision of a key that does not exist
+READ_LIMIT = 5000  # entries in one answer
+
+
+@dataclass(frozen=True, kw_only=True)
+class Entry:
+    """One key with its value and the revisions that created and last changed it."""
+
+    key: str
+    value: bytes
+    create_revision: int
+    mod_revision: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Snapshot:
+    """Entries of a prefix at one revision of the store."""
+
+    revision: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Put:
+    """A value to write, optionally bound to a lease."""
+
+    key: str
+    value: bytes
+    lease_id: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Commit:
+    """A transaction: written only if each expected revision still stands.
+
+    ``expected`` gives modification revisions by key and ``created`` creation revisions;
+    ``ABSENT`` stands for a key that must not exist.
+    """
+
+    expected: Mapping[str, int] = field(default_factory=dict)
+    created: Mapping[str, int] = field(default_factory=dict)
+    puts: Sequence[Put] = ()
+    deletes: Sequence[str] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Change:
+    """One change of a key; ``value`` is ``None`` for a deletion."""
+
+    key: str
+    value: bytes | None
+    mod_revision: int
+    create_revision: int
+
+
+class Store(Protocol):
+    """What the system needs of the platform's key-value service."""
+
+    async def read_prefix(
+        self, prefix: str, *, deadline: float, changed_after: int = 0
+    ) -> Result[Snapshot, StoreError]:
+        """Read the entries below a prefix that changed after a revision."""
+
+    async def read_key(self, key: str, *, deadline: float) -> Result[Snapshot, StoreError]:
+        """Read one key; the snapshot has no entry if it does not exist."""
+
+    async def commit(self, commit: Commit, *, deadline: float) -> Result[int, StoreError]:
+        """Write a transaction and return its revision."""
+
+    async def commit_each(
+        self, commits: Sequence[Commit], *, deadline: float
+    ) -> Result[list[bool], StoreError]:
+        """Write independent transactions in one call; tell which took effect."""
+
+    async def grant_lease(self, ttl_s: int, *, deadline: float) -> Result[int, StoreError]:
+        """Create a lease and return its number."""
+
+    async def renew_lease(self, lease_id: int, *, deadline: float) -> Result[int, StoreError]:
+        """Renew a lease and return its time-to-live in seconds; 0 if it has lapsed."""
+
+    async def revoke_lease(self, lease_id: int, *, deadline: float) -> Result[None, StoreError]:
+        """End a lease with the keys bound to it."""
+
+    def watch(
+        self,
+        prefix: str,
+        *,
+        after: int,
+        receive: Callable[[int, list[Change]], None],
+        end: Callable[[], None],
+    ) -> StoreWatch:
+        """Report changes below a prefix after a revision until stopped or ended."""
+
+
+class EtcdStore:
+    """Adapter for the etcd v3 JSON gateway; tries its addresses in turn."""
+
+    def __init__(self, *, reactor: ReactorBase, client: HttpClient, urls: Sequence[str]) -> None:
+        self._reactor = reactor
+        self._client = client
+        self._urls = list(urls)
+        self.calls = 0
+
+    async def read_prefix(
+        self, prefix: str, *, deadline: float, changed_after: int = 0
+    ) -> Result[Snapshot, StoreError]:
+        """Read the entries below a prefix, page by page, all at the first page's revision."""
+        entries: list[Entry] = []
+        start = _encode(prefix)
+        revision = 0
+        while True:
+            query: dict[str, Any] = {
+                "key": start,
+                "range_end": _encode(prefix_end(prefix)),
+                "limit": str(READ_LIMIT),
+            }
+            if changed_after:
+                query["min_mod_revision"] = str(changed_after + 1)
+            if revision:
+                query["revision"] = str(revision)
+            result = await self._call("/v3/kv/range", query, deadline)
+            if result.is_error():
+                return Error(result.error)
+            answer = result.ok
+            revision = revision or int(answer["header"]["revision"])
+            page = [_entry(found) for found in answer.get("kvs", [])]
+            entries.extend(page)
+            if not answer.get("more") or not page:
+                return Ok(Snapshot(revision=revision, entries=tuple(entries)))
+            start = _encode(page[-1].key + "\0")
+
+    async def read_key(self, key: str, *, deadline: float) -> Result[Snapshot, StoreError]:
+        """Read one key."""
+        result = await self._call("/v3/kv/range", {"key": _encode(key)}, deadline)
+        if result.is_error():
+            return Error(result.error)
+        entries = tuple(_entry(found) for found in result.ok.get("kvs", []))
+        return Ok(Snapshot(revision=int(result.ok["header"]["revision"]), entries=entries))
+
+    async def commit(self, commit: Commit, *, deadline: float) -> Result[int, StoreError]:
+        """Write a transaction and return its revision."""
+        result = await self._call("/v3/kv/txn", _transaction(commit), deadline)
+        if result.is_error():
+            return Error(result.error)
+        if not result.ok.get("succeeded"):
+            return Error(
+                CompareFailedError(
+                    reason="Another writer was first.", remedy="Read again and decide anew."
+                )
+            )
+        return Ok(int(result.ok["header"]["revision"]))
+
+    async def commit_each(
+        self, commits: Sequence[Commit], *, deadline: float
+    ) -> Result[list[bool], StoreError]:
+        """Write independent transactions as the nested operations of one call."""
+        nested = [{"request_txn": _transaction(commit)} for commit in commits]
+        result = await self._call("/v3/kv/txn", {"success": nested}, deadline)
+        if result.is_error():
+            return Error(result.error)
+        return Ok(
+            [
+                bool(response.get("response_txn", {}).get("succeeded"))
+                for response in result.ok.get("responses", [])
+            ]
+        )
+
+    async def grant_lease(self, ttl_s: int, *, deadline: float) -> Result[int, StoreError]:
+        """Create a lease and return its number."""
+        result = await self._call("/v3/lease/grant", {"TTL": str(ttl_s)}, deadline)
+        return result.map(lambda answer: int(answer["ID"]))
+
+    async def renew_lease(self, lease_id: int, *, deadline: float) -> Result[int, StoreError]:
+        """Renew a lease and return its time-to-live in seconds; 0 if it has lapsed."""
+        result = await self._call("/v3/lease/keepalive", {"ID": str(lease_id)}, deadline)
+        return result.map(lambda answer: int(answer.get("result", {}).get("TTL", 0)))
+
+    async def revoke_lease(self, lease_id: int, *, deadline: float) -> Result[None, StoreError]:
+        """End a lease with the keys bound to it."""
+        result = await self._call("/v3/lease/revoke", {"ID": str(lease_id)}, deadline)
+        return result.map(lambda answer: None)
+
+    def watch(
+        self,
+        prefix: str,
+        *,
+        after: int,
+        receive: Callable[[int, list[Change]], None],
+        end: Callable[[], None],
+    ) -> StoreWatch:
+        """Open a watch on the first address."""
+        query = {
+            "create_request": {
+                "key": _encode(prefix),
+                "range_end": _encode(prefix_end(prefix)),
+                "start_revision": str(after + 1),
+            }
+        }
+        self.calls += 1
+        watch = StoreWatch(reactor=self._reactor, receive=_decode_events(receive), end=end)
+        watch.open(f"{self._urls[0]}/v3/watch", msgspec.json.encode(query))
+        return watch
+
+    async def _call(
+        self, path: str, query: Mapping[str, Any], deadline: float
+    ) -> Result[dict[str, Any], StoreError]:
+        """Call the first address that can be reached.
+
+        Another address is tried only after a failure in which no byte was sent, so that a call
+        never takes effect twice.
+        """
+        body = msgspec.json.encode(query)
+        reason = "no address"
+        for url in list(self._urls):
+            self.calls += 1
+            result = await self._client.call("POST", url + path, deadline=deadline, body=body)
+            if result.is_ok():
+                return _decode_answer(result.ok.status, result.ok.body)
+            reason = result.error.reason
+            if result.error.sent:
+                return Error(_outcome_unknown(reason))
+            self._urls.append(self._urls.pop(0))
+        return Error(
+            StoreUnavailableError(
+                reason=f"The key-value service was not reached ({reason}).",
+                remedy="Check store_urls and the platform's state.",
+            )
+        )
+
+
+def prefix_end(prefix: str) -> str:
+    """Return the first key after all keys with a prefix."""
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+def _outcome_unknown(reason: str) -> StoreOutcomeUnknownError:
+    return StoreOutcomeUnknownError(
+        reason=f"The key-value service did not answer ({reason}).",
+        remedy="Read back before writing again.",
+    )
+
+
+def _decode_answer(status: int, body: bytes) -> Result[dict[str, Any], StoreError]:
+    if status != 200:
+        return Error(_outcome_unknown(f"status {status}"))
+    try:
+        return Ok(msgspec.json.decode(body, type=dict[str, Any]))
+    except msgspec.DecodeError:
+        return Error(_outcome_unknown("an answer that is not JSON"))
+
+
+def _encode(text: str) -> str:
+    return base64.b64encode(text.encode()).decode()
+
+
+def _decode(text: str) -> bytes:
+    return base64.b64decode(text)
+
+
+def _entry(found: Mapping[str, Any]) -> Entry:
+    return Entry(
+        key=_decode(found["key"]).decode(),
+        value=_decode(found.get("value", "")),
+        create_revision=int(found.get("create_revision", 0)),
+        mod_revision=int(found.get("mod_revision", 0)),
+    )
+
+
+def _transaction(commit: Commit) -> dict[str, Any]:
+    compares = [
+        {"key": _encode(key), "target": "MOD", "mod_revision": str(revision), "result": "EQUAL"}
+        for key, revision in commit.expected.items()
+    ]
+    compares += [
+        {
+            "key": _encode(key),
+            "target": "CREATE",
+            "create_revision": str(revision),
+            "result": "EQUAL",
+        }
+        for key, revision in commit.created.items()
+    ]
+    operations: list[dict[str, Any]] = []
+    for put in commit.puts:
+        request = {"key": _encode(put.key), "value": base64.b64encode(put.value).decode()}
+        if put.lease_id:
+            request["lease"] = str(put.lease_id)
+        operations.append({"request_put": request})
+    operations += [{"request_delete_range": {"key": _encode(key)}} for key in commit.deletes]
+    return {"compare": compares, "success": operations}
+
+
+def _decode_events(
+    receive: Callable[[int, list[Change]], None],
+) -> Callable[[dict[str, Any]], None]:
+    def receive_message(message: dict[str, Any]) -> None:
+        result = message.get("result", {})
+        changes = [_change(event) for event in result.get("events", [])]
+        receive(int(result.get("header", {}).get("revision", 0)), changes)
+
+    return receive_message
+
+
+def _change(event: Mapping[str, Any]) -> Change:
+    found = event["kv"]
+    deleted = event.get("type") == "DELETE"
+    return Change(
+        key=_decode(found["key"]).decode(),
+        value=None if deleted else _decode(found.get("value", "")),
+        mod_revision=int(found.get("mod_revision", 0)),
+        create_revision=int(found.get("create_revision", 0)),
+    )
--- /dev/null
+++ b/src/cactusshunt/schema/codec.py
@@ -0,0 +1,71 @@
+"""Codec of messages between processes and of records in the store."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from cactusshunt.exceptions import CactusshuntError
+from cactusshunt.schema.generated import messages
+
+T = TypeVar("T")
+
+PEER_MESSAGES: dict[bytes, type[Any]] = {
+    kind.__name__.encode(): kind
+    for kind in (
+        messages.EntryReport,
+        messages.PeerDigest,
+        messages.RoutingTable,
+        messages.RoutingTableRequest,
+        messages.SubtreeReply,
+        messages.SubtreeRequest,
+        messages.UpstreamUpdate,
+        messages.VmListReply,
+        messages.VmListRequest,
+    )
+}
+
+
+class MessageError(CactusshuntError):
+    """A message or record that does not follow its schema."""
+
+
+def encode_message(message: object) -> list[bytes]:
+    """Return the frames of a message: the name of its type and its MessagePack body."""
+    return [type(message).__name__.encode(), msgspec.msgpack.encode(message)]
+
+
+def decode_message(frames: list[bytes]) -> Result[Any, MessageError]:
+    """Return the message in frames as ``encode_message`` made them."""
+    if len(frames) != 2 or frames[0] not in PEER_MESSAGES:
+        return Error(_malformed("of an unknown type"))
+    try:
+        return Ok(msgspec.msgpack.decode(frames[1], type=PEER_MESSAGES[frames[0]]))
+    except msgspec.MsgspecError as error:
+        return Error(_malformed(f"not valid ({error})"))
+
+
+def encode_record(record: object) -> bytes:
+    """Return a record as JSON, which operators can read in the store."""
+    return msgspec.json.encode(record)
+
+
+def decode_record(data: bytes, kind: type[T]) -> Result[T, MessageError]:
+    """Return a record read from the store."""
+    try:
+        return Ok(msgspec.json.decode(data, type=kind))
+    except msgspec.MsgspecError as error:
+        return Error(_malformed(f"not valid ({error})"))
+
+
+def _malformed(what: str) -> MessageError:
+    return MessageError(
+        reason=f"A message or record is {what}.",
+        remedy="Run the same version on all VMs, or one that reads both.",
+    )
--- /dev/null
+++ b/src/cactusshunt/tasks/administration/api.py
@@ -0,0 +1,448 @@
+"""HTTP interface of the administration API."""
+
+from __future__ import annotations
+
+import re
+import uuid
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from expression import Error
+from expression import Ok
+from expression import Result
+from logbook import Logger
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from cactusshunt.decisions.authorization import find_administrator
+from cactusshunt.decisions.authorization import may_administer
+from cactusshunt.decisions.authorization import read_bearer_token
+from cactusshunt.decisions.subtree import is_subject
+from cactusshunt.decisions.subtree import judge_subtree
+from cactusshunt.exceptions import CompareFailedError
+from cactusshunt.exceptions import StoreError
+from cactusshunt.exceptions import StoreUnavailableError
+from cactusshunt.schema.generated.messages import Subtree
+from cactusshunt.tasks.administration.preview import ALL_RECORDS_PREFIX
+from cactusshunt.tasks.administration.preview import preview_change
+from cactusshunt.tasks.administration.settings_writer import SettingsWriter
+from cactusshunt.tasks.administration.settings_writer import StoredSubtree
+from cactusshunt.tasks.control_messages import SubtreesOffered
+from cactusshunt.tasks.periodic import start_coroutine
+from cactusshunt.tasks.problem import Problem
+from cactusshunt.tasks.problem import send_problem
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+    from twisted.web.server import Request
+
+    from cactusshunt.edges.store import Store
+    from cactusshunt.schema.generated.settings import Administrator
+    from cactusshunt.tasks.message_bus import MessageBus
+    from cactusshunt.tasks.peer_task import PeerTask
+    from cactusshunt.tasks.routing_task import RoutingTask
+    from cactusshunt.tasks.settings_task import SettingsTask
+
+audit = Logger("audit")
+
+BODY_LIMIT_BYTES = 1024 * 1024
+COME_BACK_S = 2.0
+CALL_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class SettingsChange:
+    """Body of a write: new texts by path, ``null`` to remove a document."""
+
+    documents: dict[str, str | None]
+    write_id: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Rollback:
+    """Body of a rollback: the revision whose documents become a new version."""
+
+    to_revision: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Call:
+    """One call with its subject, its administrator and its body."""
+
+    request: Request
+    subject: str
+    administrator: Administrator
+    body: bytes
+
+
+Answer = Result[Any, Problem]
+Handler = Callable[[Call], Awaitable[Answer]]
+
+
+class AdministrationApi(Resource):
+    """Serves the API, state dumps and health checks of the control process."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(
+        self,
+        *,
+        reactor: ReactorBase,
+        bus: MessageBus,
+        store: Store,
+        settings: SettingsTask,
+        peers: PeerTask,
+        routing: RoutingTask,
+        dump: Callable[[], dict[str, Any]],
+        vm: str,
+        availability_zone: str,
+    ) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self._reactor = reactor
+        self._bus = bus
+        self._store = store
+        self._settings = settings
+        self._peers = peers
+        self._routing = routing
+        self._dump = dump
+        self._vm = vm
+        self._availability_zone = availability_zone
+        self._writer = SettingsWriter(reactor=reactor, store=store)
+        self._routes: list[tuple[str, re.Pattern[str], Handler]] = [
+            ("GET", re.compile(r"/v1/settings/(?P<subject>.+)/history"), self._read_history),
+            ("GET", re.compile(r"/v1/settings/(?P<subject>.+)/in-force"), self._read_in_force),
+            ("POST", re.compile(r"/v1/settings/(?P<subject>.+)/rollback"), self._roll_back),
+            ("POST", re.compile(r"/v1/settings/(?P<subject>.+)/dry-run"), self._try_change),
+            ("GET", re.compile(r"/v1/settings/(?P<subject>.+)"), self._read_subject),
+            ("PUT", re.compile(r"/v1/settings/(?P<subject>.+)"), self._write_subject),
+        ]
+
+    def render(self, request: Request) -> Any:
+        """Answer a call."""
+        path = request.path.decode() if request.path else ""
+        if path in ("/healthz", "/readyz"):
+            return b"ok\n"
+        if path == "/dump":
+            request.setHeader("Content-Type", "application/json")
+            return msgspec.json.encode(self._dump())
+        start_coroutine(self._answer(request, path))
+        return NOT_DONE_YET
+
+    async def _answer(self, request: Request, path: str) -> None:
+        answer = await self._dispatch(request, path)
+        if request._disconnected:
+            return
+        if answer.is_error():
+            send_problem(request, answer.error, now=self._reactor.seconds())
+            return
+        request.setHeader("Content-Type", "application/json")
+        if isinstance(answer.ok, dict) and "revision" in answer.ok:
+            request.setHeader("ETag", f'"{answer.ok["revision"]}"')
+        request.write(msgspec.json.encode(answer.ok))
+        request.finish()
+
+    async def _dispatch(self, request: Request, path: str) -> Answer:
+        method = request.method.decode()
+        for wanted, pattern, handler in self._routes:
+            match = pattern.fullmatch(path)
+            if match is None or method != wanted:
+                continue
+            call = self._admit(request, match["subject"])
+            return await handler(call.ok) if call.is_ok() else Error(call.error)
+        return Error(
+            Problem(
+                status=404,
+                kind="no-such-path",
+                detail=f"{method} {path} is not part of the administration API.",
+                remedy="See docs/operators.md for the calls.",
+            )
+        )
+
+    def _admit(self, request: Request, subject: str) -> Result[Call, Problem]:
+        token = read_bearer_token(request.getHeader("Authorization"))
+        administrator = find_administrator(self._settings.catalogue.administrators, token)
+        if administrator is None:
+            return Error(_unauthorised())
+        if not may_administer(administrator, subject) or not is_subject(subject):
+            return Error(_forbidden())
+        body = request.content.read() if request.content is not None else b""
+        if len(body) > BODY_LIMIT_BYTES:
+            return Error(_too_large())
+        return Ok(Call(request=request, subject=subject, administrator=administrator, body=body))
+
+    async def _read_subject(self, call: Call) -> Answer:
+        found = await self._writer.read(call.subject)
+        if found.is_error():
+            return self._describe_adopted(call.subject)
+        stored = found.ok
+        accepted = stored.accepted
+        return Ok(
+            {
+                "subject": call.subject,
+                "revision": stored.accepted_revision,
+                "generation": accepted.generation if accepted else 0,
+                "documents": dict(accepted.documents) if accepted else {},
+                "written": stored.documents,
+                "rejected": [str(e) for e in judge_subtree(call.subject, stored.documents)],
+                "from": "store",
+            }
+        )
+
+    def _describe_adopted(self, subject: str) -> Answer:
+        """Answer from what is in force here while the store is out of reach."""
+        subtree = self._settings.adopted.get(subject)
+        if subtree is None:
+            return Error(_store_problem(self._reactor.seconds()))
+        return Ok(
+            {
+                "subject": subject,
+                "revision": subtree.revision,
+                "generation": subtree.generation,
+                "documents": dict(subtree.documents),
+                "from": self._vm,
+            }
+        )
+
+    async def _write_subject(self, call: Call) -> Answer:
+        change = _decode_body(call.body, SettingsChange)
+        if change.is_error():
+            return Error(change.error)
+        prepared = await self._prepare(call, change.ok)
+        if prepared.is_error():
+            return Error(prepared.error)
+        stored, subtree = prepared.ok
+        return await self._commit(call, stored, subtree)
+
+    async def _try_change(self, call: Call) -> Answer:
+        change = _decode_body(call.body, SettingsChange)
+        if change.is_error():
+            return Error(change.error)
+        prepared = await self._prepare(call, change.ok)
+        if prepared.is_error():
+            return Error(prepared.error)
+        records = await self._store.read_prefix(
+            ALL_RECORDS_PREFIX, deadline=self._reactor.seconds() + CALL_TIMEOUT_S
+        )
+        if records.is_error():
+            return Error(_store_problem(self._reactor.seconds()))
+        preview = preview_change(
+            self._settings.adopted.subtrees, prepared.ok[1], records.ok, self._reactor.seconds()
+        )
+        return Ok(msgspec.to_builtins(preview))
+
+    async def _roll_back(self, call: Call) -> Answer:
+        body = _decode_body(call.body, Rollback)
+        if body.is_error():
+            return Error(body.error)
+        found = await self._writer.read(call.subject)
+        if found.is_error():
+            return Error(_store_problem(self._reactor.seconds()))
+        wanted = [v for v in found.ok.history if v.revision == body.ok.to_revision]
+        if not wanted:
+            return Error(_no_such_revision(call.subject, body.ok.to_revision))
+        subtree = self._make_subtree(call, found.ok, dict(wanted[0].documents), "")
+        errors = judge_subtree(call.subject, subtree.documents)
+        if errors:
+            return Error(_invalid(tuple(str(error) for error in errors)))
+        return await self._commit(call, found.ok, subtree)
+
+    async def _read_history(self, call: Call) -> Answer:
+        found = await self._writer.read(call.subject)
+        if found.is_error():
+            return Error(_store_problem(self._reactor.seconds()))
+        versions = list(found.ok.history)
+        if found.ok.accepted is not None:
+            versions.append(found.ok.accepted)
+        return Ok([msgspec.to_builtins(version) for version in versions])
+
+    async def _read_in_force(self, call: Call) -> Answer:
+        """Tell at which nodes which revision is in force, and which items are not resident."""
+        subject = call.subject
+        subtree = self._settings.adopted.get(subject)
+        revision = subtree.revision if subtree is not None else 0
+        nodes = {self._vm: revision}
+        for vm, versions in self._peers.versions.items():
+            nodes[vm] = versions[subject].revision if subject in versions else 0
+        held = {item for state in self._routing.states.values() for item in state.items}
+        team = subject.partition("/")[2]
+        items = [i for i in self._settings.catalogue.items.values() if i.team == team]
+        return Ok(
+            {
+                "subject": subject,
+                "revision": revision,
+                "nodes": nodes,
+                "behind": sorted(vm for vm, seen in nodes.items() if seen < revision),
+                "not_resident": sorted(item.item for item in items if item.item not in held),
+            }
+        )
+
+    async def _prepare(
+        self, call: Call, change: SettingsChange
+    ) -> Result[tuple[StoredSubtree, Subtree], Problem]:
+        """Read the newest version, check the caller's, and judge the changed documents."""
+        expected = (call.request.getHeader("If-Match") or "").strip('"')
+        if not expected.isdigit():
+            return Error(_precondition_required())
+        found = await self._writer.read(call.subject)
+        if found.is_error():
+            return Error(_store_problem(self._reactor.seconds()))
+        stored = found.ok
+        if stored.accepted_revision != int(expected):
+            return Error(_lost_race(stored))
+        documents = stored.documents
+        for path, text in change.documents.items():
+            if text is None:
+                documents.pop(path, None)
+            else:
+                documents[path] = text
+        errors = judge_subtree(call.subject, documents)
+        if errors:
+            return Error(_invalid(tuple(str(error) for error in errors)))
+        return Ok((stored, self._make_subtree(call, stored, documents, change.write_id)))
+
+    def _make_subtree(
+        self, call: Call, stored: StoredSubtree, documents: dict[str, str], write_id: str
+    ) -> Subtree:
+        accepted = stored.accepted
+        return Subtree(
+            subject=call.subject,
+            generation=accepted.generation if accepted is not None else 0,
+            documents=documents,
+            author=call.administrator.name,
+            write_id=write_id or uuid.uuid4().hex,
+            accepted_at=self._reactor.seconds(),
+        )
+
+    async def _commit(self, call: Call, stored: StoredSubtree, subtree: Subtree) -> Answer:
+        result = await self._writer.write(stored, subtree)
+        if result.is_error():
+            return Error(await self._describe_failure(call.subject, result.error, subtree))
+        written = result.ok
+        audit.info(
+            "settings written: subject={} revision={} author={} write_id={}",
+            call.subject,
+            written.revision,
+            call.administrator.name,
+            written.write_id,
+        )
+        self._bus.publish(SubtreesOffered(subtrees=(replace(subtree, revision=written.revision),)))
+        return Ok(
+            {
+                "subject": call.subject,
+                "revision": written.revision,
+                "write_id": written.write_id,
+            }
+        )
+
+    async def _describe_failure(self, subject: str, error: StoreError, subtree: Subtree) -> Problem:
+        if isinstance(error, StoreUnavailableError):
+            return _store_problem(self._reactor.seconds())
+        if not isinstance(error, CompareFailedError):
+            return replace(
+                _store_problem(self._reactor.seconds()),
+                status=504,
+                kind="write-outcome-unknown",
+                detail=f"It is not known whether write {subtree.write_id} took effect.",
+                remedy="Read the history and look for the write_id, then decide.",
+            )
+        found = await self._writer.read(subject)
+        return _lost_race(found.ok) if found.is_ok() else _store_problem(self._reactor.seconds())
+
+
+def _decode_body(body: bytes, kind: type[Any]) -> Result[Any, Problem]:
+    try:
+        return Ok(msgspec.json.decode(body, type=kind))
+    except msgspec.MsgspecError as error:
+        return Error(
+            Problem(
+                status=400,
+                kind="malformed-body",
+                detail=f"The body is not valid: {error}.",
+                remedy="See docs/operators.md for the body of this call.",
+            )
+        )
+
+
+def _unauthorised() -> Problem:
+    return Problem(
+        status=401,
+        kind="no-administrator",
+        detail="The call carries no token of an administrator.",
+        remedy="Send Authorization: Bearer <token>; tokens stand in deployment/administrators.",
+    )
+
+
+def _forbidden() -> Problem:
+    return Problem(
+        status=403,
+        kind="subject-not-allowed",
+        detail="The token is not for this subtree.",
+        remedy="Use the token of this team's administrator.",
+    )
+
+
+def _too_large() -> Problem:
+    return Problem(
+        status=413,
+        kind="body-too-large",
+        detail=f"The body is larger than {BODY_LIMIT_BYTES} bytes.",
+        remedy="Split the change.",
+    )
+
+
+def _store_problem(now: float) -> Problem:
+    return Problem(
+        status=503,
+        kind="store-unavailable",
+        detail="The platform's key-value service did not answer; nothing was written.",
+        remedy="Try again; callers are served with the settings in force.",
+        come_back_at=now + COME_BACK_S,
+    )
+
+
+def _precondition_required() -> Problem:
+    return Problem(
+        status=428,
+        kind="version-required",
+        detail="The call names no version.",
+        remedy='Read the subtree and send its revision as If-Match: "<revision>".',
+    )
+
+
+def _lost_race(stored: StoredSubtree) -> Problem:
+    accepted = stored.accepted
+    author = accepted.author if accepted is not None else "nobody"
+    documents = msgspec.json.encode(stored.documents).decode()
+    return Problem(
+        status=412,
+        kind="other-change-first",
+        detail=f"Revision {stored.accepted_revision} by {author} stands now.",
+        remedy="Read the subtree again and repeat the change on it.",
+        errors=(documents,),
+    )
+
+
+def _invalid(errors: tuple[str, ...]) -> Problem:
+    return Problem(
+        status=422,
+        kind="invalid-settings",
+        detail="The settings are not valid; nothing was written.",
+        remedy="Mend each place that is named.",
+        errors=errors,
+    )
+
+
+def _no_such_revision(subject: str, revision: int) -> Problem:
+    return Problem(
+        status=404,
+        kind="no-such-revision",
+        detail=f"The history of {subject} has no revision {revision}.",
+        remedy="Read the history for the revisions that are kept.",
+    )
--- /dev/null
+++ b/src/cactusshunt/tasks/entry/caller_api.py
@@ -0,0 +1,211 @@
+"""Callers' HTTP interface."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from expression import Error
+from expression import Ok
+from expression import Result
+from logbook import Logger
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from cactusshunt.decisions.attempt import Outcome
+from cactusshunt.decisions.once import ClaimVerdict
+from cactusshunt.decisions.once import claim_key
+from cactusshunt.decisions.once import fingerprint_request
+from cactusshunt.tasks.entry import problems
+from cactusshunt.tasks.entry.caller_request import LONGEST_KEY
+from cactusshunt.tasks.entry.caller_request import CallerRequest
+from cactusshunt.tasks.entry.kept_answer import send_kept_answer
+from cactusshunt.tasks.entry.model_requests import MODEL_PATHS
+from cactusshunt.tasks.entry.service_requests import SERVICE_PREFIX
+from cactusshunt.tasks.periodic import start_coroutine
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.base import ReactorBase
+    from twisted.web.server import Request
+
+    from cactusshunt.tasks.entry.model_requests import ModelRequests
+    from cactusshunt.tasks.entry.once_claims import Claim
+    from cactusshunt.tasks.entry.once_claims import OnceClaims
+    from cactusshunt.tasks.entry.request_runner import RequestPlan
+    from cactusshunt.tasks.entry.request_runner import RequestRunner
+    from cactusshunt.tasks.entry.service_requests import ServiceRequests
+    from cactusshunt.tasks.metrics import Metrics
+    from cactusshunt.tasks.problem import Problem
+
+log = Logger("callers")
+
+
+class Phase(Enum):
+    """Where an entry process stands between its start and its end."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
+    REFUSING = "refusing"
+
+
+READY_PHASES = frozenset({Phase.SERVING})
+ACCEPTING_PHASES = frozenset({Phase.SERVING, Phase.LEAVING})
+
+
+class CallerApi(Resource):
+    """Owns callers' requests from their arrival to their answer."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(
+        self,
+        *,
+        reactor: ReactorBase,
+        models: ModelRequests,
+        services: ServiceRequests,
+        runner: RequestRunner,
+        claims: OnceClaims,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self._reactor = reactor
+        self._models = models
+        self._services = services
+        self._runner = runner
+        self._claims = claims
+        self._metrics = metrics
+        self.phase = Phase.STARTING
+        self.in_flight = 0
+        self.answered: dict[str, int] = {}
+        self._simple: dict[str, Callable[[Request], bytes]] = {
+            "/healthz": lambda request: b"ok\n",
+            "/readyz": self._answer_ready,
+            "/v1/models": self._list_models,
+        }
+
+    def render(self, request: Request) -> Any:
+        """Answer a request, now or later."""
+        path = request.path.decode("latin-1") if request.path else ""
+        simple = self._simple.get(path)
+        if simple is not None:
+            return simple(request)
+        start_coroutine(self._serve(request, path))
+        return NOT_DONE_YET
+
+    def _answer_ready(self, request: Request) -> bytes:
+        if self.phase in READY_PHASES:
+            return b"ready\n"
+        request.setResponseCode(503)
+        return self.phase.value.encode() + b"\n"
+
+    def _list_models(self, request: Request) -> bytes:
+        request.setHeader("Content-Type", "application/json")
+        found = self._models.list_models(request.getHeader("Authorization"))
+        return msgspec.json.encode({"object": "list", "data": found})
+
+    async def _serve(self, request: Request, path: str) -> None:
+        now = self._reactor.seconds()
+        caller = CallerRequest(request=request, now=now)
+        self.in_flight += 1
+        try:
+            result = await self._run(caller, path)
+        except Exception:
+            log.exception("request {} failed", caller.request_id)
+            result = Error(problems.internal_error())
+        finally:
+            self.in_flight -= 1
+        if result.is_error():
+            problem = result.error
+            self._count(problem.kind)
+            log.info("request {} ended: {}", caller.request_id, problem.kind)
+            caller.refuse(problem, self._reactor.seconds())
+            return
+        self._count("answered" if result.ok else "stream-broken")
+        self._metrics.time("request.duration_ms", self._reactor.seconds() - now)
+
+    def _count(self, kind: str) -> None:
+        self.answered[kind] = self.answered.get(kind, 0) + 1
+        self._metrics.count(f"request.{kind}")
+
+    async def _run(self, caller: CallerRequest, path: str) -> Result[bool, Problem]:
+        """Return whether the answer was whole, or the problem to answer with."""
+        now = self._reactor.seconds()
+        if self.phase not in ACCEPTING_PHASES:
+            caller.request.setHeader("Connection", "close")
+            return Error(
+                problems.not_ready(now) if self.phase is Phase.STARTING else problems.draining(now)
+            )
+        if getattr(caller.request, "too_large", False):
+            return Error(problems.body_too_large())
+        deadline = caller.read_deadline()
+        if deadline.is_error():
+            return Error(deadline.error)
+        if caller.deadline <= now:
+            return Error(problems.deadline_passed())
+        plan = self._make_plan(caller, path, now)
+        if plan.is_error():
+            return Error(plan.error)
+        if caller.key is not None:
+            return await self._run_once(caller, caller.key, plan.ok)
+        completed = await self._runner.run(caller, plan.ok)
+        return completed.map(lambda found: found.whole)
+
+    def _make_plan(
+        self, caller: CallerRequest, path: str, now: float
+    ) -> Result[RequestPlan, Problem]:
+        if path in MODEL_PATHS and caller.method == "POST":
+            return self._models.make_plan(caller, now)
+        if path.startswith(SERVICE_PREFIX):
+            return self._services.make_plan(caller, now)
+        return Error(problems.unknown_path(path))
+
+    async def _run_once(
+        self, caller: CallerRequest, key: str, plan: RequestPlan
+    ) -> Result[bool, Problem]:
+        if not key or len(key) > LONGEST_KEY:
+            return Error(
+                problems.malformed_request(f"Idempotency-Key needs 1 to {LONGEST_KEY} characters.")
+            )
+        claimed = await self._claims.claim(
+            claim_key(scope=plan.team, key=key),
+            fingerprint_request(method=caller.method, path=caller.path, body=caller.read_body()),
+        )
+        now = self._reactor.seconds()
+        if claimed.is_error():
+            return Error(problems.claims_unavailable(now))
+        claim: Claim = claimed.ok
+        if claim.verdict is ClaimVerdict.ANSWERED:
+            send_kept_answer(caller, claim.record)
+            return Ok(True)
+        if claim.verdict is not ClaimVerdict.GRANTED:
+            return Error(self._describe_refusal(claim.verdict, now))
+        return await self._run_claimed(caller, plan, claim)
+
+    async def _run_claimed(
+        self, caller: CallerRequest, plan: RequestPlan, claim: Claim
+    ) -> Result[bool, Problem]:
+        completed = await self._runner.run(caller, plan)
+        if completed.is_error():
+            if completed.error.outcome is Outcome.NOT_RUN:
+                self._claims.release(claim)
+            return Error(completed.error)
+        found = completed.ok
+        if found.whole:
+            self._claims.complete(
+                claim, status=found.status, content_type=found.content_type, body=found.body
+            )
+        return Ok(found.whole)
+
+    def _describe_refusal(self, verdict: ClaimVerdict, now: float) -> Problem:
+        refusals: dict[ClaimVerdict, Callable[[], Problem]] = {
+            ClaimVerdict.IN_PROGRESS: lambda: problems.key_in_progress(now),
+            ClaimVerdict.DONE_WITHOUT_ANSWER: problems.key_done,
+            ClaimVerdict.OTHER_REQUEST: problems.key_of_other_request,
+        }
+        return refusals[verdict]()
--- /dev/null
+++ b/src/cactusshunt/tasks/entry/caller_site.py
@@ -0,0 +1,133 @@
+"""Limits on callers' connections, headers and bodies."""
+
+from __future__ import annotations
+
+import io
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import cast
+
+from twisted.web.http import HTTPChannel
+from twisted.web.server import Request
+from twisted.web.server import Site
+
+if TYPE_CHECKING:
+    from twisted.internet.interfaces import IAddress
+    from twisted.web.resource import IResource
+
+IDLE_TIMEOUT_S = 75
+HEADER_LIMIT_BYTES = 16384
+DROPPED_LIMITS = 16  # body limits that are read and dropped before the connection is closed
+
+_TOO_LARGE_HEADERS = (
+    b'{"type":"urn:cactusshunt:problem:headers-too-large","title":"headers too large",'
+    b'"status":431,"detail":"The headers are larger than this entry takes.",'
+    b'"remedy":"Send fewer or shorter headers.","outcome":"not_run"}'
+)
+_TOO_MANY_CONNECTIONS = (
+    b'{"type":"urn:cactusshunt:problem:too-many-connections","title":"too many connections",'
+    b'"status":503,"detail":"This entry has no connection left.","remedy":"Ask again.",'
+    b'"outcome":"not_run"}'
+)
+
+
+def _whole_answer(status: bytes, body: bytes, extra: bytes = b"") -> bytes:
+    return (
+        b"HTTP/1.1 " + status + b"\r\nContent-Type: application/problem+json\r\n"
+        b"Content-Length: " + str(len(body)).encode() + b"\r\n" + extra + b"Connection: close\r\n"
+        b"\r\n" + body
+    )
+
+
+class LimitedRequest(Request):
+    """Keeps bodies in memory, up to the site's limit in bytes; of a larger one it keeps nothing.
+
+    A body that is too large is read and dropped up to a multiple of the limit, because a
+    connection that is closed while its peer still writes loses the answer.
+    """
+
+    too_large = False
+    _taken = 0
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Note a body that is announced as too large."""
+        self.content = io.BytesIO()
+        self.too_large = length is not None and length > self._limit()
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Keep a part of the body unless it is too large."""
+        self._taken += len(data)
+        self.too_large = self.too_large or self._taken > self._limit()
+        if not self.too_large:
+            super().handleContentChunk(data)  # type: ignore[no-untyped-call]
+            return
+        self.content = io.BytesIO()
+        if self._taken > self._limit() * DROPPED_LIMITS:
+            cast("LimitedChannel", self.channel).loseConnection()  # type: ignore[no-untyped-call]
+
+    def _limit(self) -> int:
+        return cast("LimitedChannel", self.channel).site.body_limit
+
+
+class LimitedChannel(HTTPChannel):
+    """Answers 431 to headers that are too large."""
+
+    totalHeadersSize = HEADER_LIMIT_BYTES  # noqa: N815
+    site: CallerSite
+
+    def answer_and_close(self, answer: bytes) -> None:
+        """Send raw bytes as the last answer on this connection."""
+        if self.transport is not None:
+            self.transport.write(answer)
+            self.transport.loseConnection()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
+        if self._receivedHeaderSize <= self.totalHeadersSize:
+            super()._respondToBadRequestAndDisconnect()  # type: ignore[no-untyped-call]
+            return
+        self.answer_and_close(
+            _whole_answer(b"431 Request Header Fields Too Large", _TOO_LARGE_HEADERS)
+        )
+
+
+class CallerSite(Site):
+    """Site with limits; ``body_limit`` in bytes."""
+
+    protocol = LimitedChannel  # type: ignore[assignment]
+
+    def __init__(self, *, resource: IResource, body_limit: int, connection_limit: int) -> None:
+        super().__init__(resource, requestFactory=LimitedRequest, timeout=IDLE_TIMEOUT_S)  # type: ignore[no-untyped-call]
+        self.body_limit = body_limit
+        self.connections = 0
+        self.refused_connections = 0
+        self._connection_limit = connection_limit
+
+    def buildProtocol(self, addr: IAddress | None) -> Any:  # noqa: N802
+        """Count connections and refuse those over the limit."""
+        protocol = super().buildProtocol(addr)  # type: ignore[no-untyped-call]
+        return _count_connection(protocol, self, self._connection_limit)
+
+
+def _count_connection(protocol: Any, site: CallerSite, limit: int) -> Any:
+    made, lost = protocol.connectionMade, protocol.connectionLost
+
+    def connection_made() -> None:
+        site.connections += 1
+        if site.connections > limit:
+            site.refused_connections += 1
+            extra = b"Retry-After: 1\r\n"
+            protocol.transport.write(
+                _whole_answer(b"503 Service Unavailable", _TOO_MANY_CONNECTIONS, extra)
+            )
+            protocol.transport.loseConnection()
+            return
+        made()
+
+    def connection_lost(reason: Any) -> None:
+        site.connections -= 1
+        lost(reason)
+
+    protocol.connectionMade = connection_made
+    protocol.connectionLost = connection_lost
+    return protocol
--- /dev/null
+++ b/src/cactusshunt/tasks/entry/demand_counter.py
@@ -0,0 +1,54 @@
+"""Counts of demand since the last report to the control process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cactusshunt.schema.generated.messages import ModelDemand
+
+
+@dataclass(kw_only=True)
+class _Counts:
+    arrivals: int = 0
+    late: int = 0
+    finished: int = 0
+    busy_s: float = 0.0
+
+
+class DemandCounter:
+    """Counts arrivals, refusals and slot-seconds by target."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, _Counts] = {}
+
+    def count_arrival(self, target: str) -> None:
+        """Count one request."""
+        self._of(target).arrivals += 1
+
+    def count_late(self, target: str) -> None:
+        """Count one request that could not be served in time."""
+        self._of(target).late += 1
+
+    def count_finished(self, target: str, busy_s: float) -> None:
+        """Count one finished request with the seconds for which it held a slot."""
+        counts = self._of(target)
+        counts.finished += 1
+        counts.busy_s += busy_s
+
+    def take(self) -> list[ModelDemand]:
+        """Return the counts and begin anew."""
+        taken, self._counts = self._counts, {}
+        return [
+            ModelDemand(
+                item=target,
+                arrivals=counts.arrivals,
+                waiting=0,
+                late=counts.late,
+                finished=counts.finished,
+                busy_s=counts.busy_s,
+            )
+            for target, counts in taken.items()
+        ]
+
+    def _of(self, target: str) -> _Counts:
+        return self._counts.setdefault(target, _Counts())
--- /dev/null
+++ b/src/cactusshunt/tasks/entry/kept_answer.py
@@ -0,0 +1,19 @@
+"""Answers of requests that ran before under the same Idempotency-Key."""
+
+from __future__ import annotations
+
+import base64
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cactusshunt.schema.generated.messages import OnceRecord
+    from cactusshunt.tasks.entry.caller_request import CallerRequest
+
+REPLAYED_HEADER = "Idempotency-Replayed"
+
+
+def send_kept_answer(caller: CallerRequest, record: OnceRecord) -> None:
+    """Send the answer that was kept, marked as such."""
+    headers = [("Content-Type", record.content_type), (REPLAYED_HEADER, "true")]
+    caller.answer(record.status, headers, base64.b64decode(record.body))
--- /dev/null
+++ b/src/cactusshunt/tasks/entry/model_requests.py
@@ -0,0 +1,184 @@
+"""Requests to models through the OpenAI-compatible interface."""
+
+from __future__ import annotations
+
+import hashlib
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from cactusshunt.decisions.authorization import Access
+from cactusshunt.decisions.authorization import check_caller
+from cactusshunt.decisions.authorization import read_bearer_token
+from cactusshunt.decisions.names import parse_model_name
+from cactusshunt.decisions.names import target_of
+from cactusshunt.decisions.names import version_of_item
+from cactusshunt.schema.generated.settings import UpstreamKind
+from cactusshunt.tasks.entry import problems
+from cactusshunt.tasks.entry.request_runner import RequestPlan
+
+if TYPE_CHECKING:
+    from cactusshunt.decisions.catalogue import Catalogue
+    from cactusshunt.decisions.names import ModelName
+    from cactusshunt.decisions.router import Router
+    from cactusshunt.tasks.entry.caller_request import CallerRequest
+    from cactusshunt.tasks.problem import Problem
+
+MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
+STREAM_FIRST_BYTE_S = 10.0
+WHOLE_FIRST_BYTE_S = 120.0  # a whole answer begins only when all of it is generated
+PREFIX_BYTES = 512  # of the prompt, from which the likely holder of a cached prefix is worked out
+SHORTEST_PREFIX_BYTES = 64
+
+_PROBLEM_OF_ACCESS = {
+    Access.NO_TOKEN: problems.no_token,
+    Access.WRONG_TOKEN: problems.wrong_token,
+}
+
+
+class ModelRequests:
+    """Reads callers' requests to models and lists the models they may call."""
+
+    def __init__(self, *, router: Router) -> None:
+        self._router = router
+        self._catalogue: Catalogue | None = None
+
+    def set_catalogue(self, catalogue: Catalogue) -> None:
+        """Take the settings in force."""
+        self._catalogue = catalogue
+
+    def list_models(self, authorization: str | None) -> list[dict[str, Any]]:
+        """Return the models that a caller with this Authorization header may call."""
+        if self._catalogue is None:
+            return []
+        token = read_bearer_token(authorization)
+        return [
+            {"id": target, "object": "model", "created": 0, "owned_by": item.team}
+            for target, item in sorted(self._catalogue.items.items())
+            if check_caller(self._catalogue.access, item.team, token) is Access.ALLOWED
+        ]
+
+    def make_plan(self, caller: CallerRequest, now: float) -> Result[RequestPlan, Problem]:
+        """Return how to run a caller's request."""
+        if self._catalogue is None:
+            return Error(problems.not_ready(now))
+        body = _decode_body(caller.read_body())
+        if body.is_error():
+            return Error(body.error)
+        named = parse_model_name(str(body.ok.get("model", "")))
+        if named.is_error():
+            return Error(problems.malformed_request(str(named.error)))
+        name = named.ok
+        token = read_bearer_token(caller.request.getHeader("Authorization"))
+        access = check_caller(self._catalogue.access, name.team, token)
+        if access is not Access.ALLOWED:
+            return Error(_PROBLEM_OF_ACCESS[access]())
+        return self._plan_for(caller, name, body.ok, now)
+
+    def _plan_for(
+        self, caller: CallerRequest, name: ModelName, body: dict[str, Any], now: float
+    ) -> Result[RequestPlan, Problem]:
+        assert self._catalogue is not None
+        item = self._catalogue.current_item(name.target)
+        if item is None or not self._is_known_version(name, item.item):
+            return Error(problems.unknown_model(str(body.get("model"))))
+        model = self._catalogue.models[name.target.partition(":")[0]]
+        streamed = body.get("stream") is True
+        return Ok(
+            RequestPlan(
+                team=name.team,
+                target=name.target,
+                item=item.item,
+                priority=item.priority,
+                wait_deadline=now + model.queue_wait_ms / 1000,
+                repeatable=caller.key is None,
+                path=caller.path,
+                headers=_forwarded_headers(caller),
+                first_byte_s=STREAM_FIRST_BYTE_S if streamed else WHOLE_FIRST_BYTE_S,
+                candidates=lambda: self._candidates(name, item.item),
+                item_at=lambda upstream: self._item_at(name, item.item, upstream),
+                make_body=lambda upstream: _encode_body(
+                    body, self._item_at(name, item.item, upstream), item.priority
+                ),
+                kind_of=self.kind_of,
+                prefix=_prefix_of(name.target, body),
+            )
+        )
+
+    def kind_of(self, kind: str) -> UpstreamKind:
+        """Return what the upstreams of a kind guarantee; nothing for an unknown kind."""
+        known = self._catalogue.upstream_kinds if self._catalogue is not None else {}
+        return known.get(kind, UpstreamKind())
+
+    def _is_known_version(self, name: ModelName, declared: str) -> bool:
+        if name.version is None or version_of_item(declared) == name.version:
+            return True
+        return any(
+            version_of_item(item) == name.version for item in self._router.items_of(name.target)
+        )
+
+    def _candidates(self, name: ModelName, declared: str) -> list[str]:
+        """Return the holders of the wanted version.
+
+        Without a version in the name, the declared one goes first, and another one serves while
+        no engine holds the declared one yet.
+        """
+        if name.version is None or version_of_item(declared) == name.version:
+            holders = self._router.holders(declared)
+            if holders:
+                return holders
+        return [
+            holder
+            for item in self._router.items_of(name.target)
+            if name.version is None or version_of_item(item) == name.version
+            for holder in self._router.holders(item)
+        ]
+
+    def _item_at(self, name: ModelName, declared: str, upstream: str) -> str:
+        """Return which version of the target an upstream is to run."""
+        state = self._router.upstreams.get(upstream)
+        items = state.items if state is not None else ()
+        wants_declared = name.version is None or version_of_item(declared) == name.version
+        if wants_declared and declared in items:
+            return declared
+        for item in items:
+            matches = name.version is None or version_of_item(item) == name.version
+            if target_of(item) == name.target and matches:
+                return item
+        return declared
+
+
+def _decode_body(data: bytes) -> Result[dict[str, Any], Problem]:
+    try:
+        return Ok(msgspec.json.decode(data, type=dict[str, Any]))
+    except msgspec.MsgspecError as error:
+        return Error(problems.malformed_request(f"The body is not a JSON object: {error}."))
+
+
+def _encode_body(body: dict[str, Any], item: str, priority: int) -> bytes:
+    return msgspec.json.encode({**body, "model": item, "priority": priority})
+
+
+def _forwarded_headers(caller: CallerRequest) -> dict[str, str]:
+    headers = {"Content-Type": "application/json"}
+    if caller.key is not None:
+        headers["Idempotency-Key"] = caller.key
+    return headers
+
+
+def _prefix_of(target: str, body: dict[str, Any]) -> str | None:
+    """Return a hash of the prompt's beginning, or ``None`` if it is too short to matter."""
+    if "messages" in body:
+        data = msgspec.json.encode(body["messages"])
+    else:
+        data = str(body.get("prompt", "")).encode()
+    if len(data) < SHORTEST_PREFIX_BYTES:
+        return None
+    digest = hashlib.blake2b(target.encode() + data[:PREFIX_BYTES], digest_size=8)
+    return digest.hexdigest()
--- /dev/null
+++ b/src/cactusshunt/tasks/entry/once_claims.py
@@ -0,0 +1,188 @@
+"""Claims on Idempotency-Keys in the store, many in one call.
+
+While one call is under way, further claims gather and go out together in the next, so the number
+of calls a second stays below the reciprocal of the store's answer time however many requests
+come.
+"""
+
+from __future__ import annotations
+
+import base64
+import uuid
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+from logbook import Logger
+from twisted.internet.defer import Deferred
+
+from cactusshunt.decisions.once import CLAIM_TTL_S
+from cactusshunt.decisions.once import ClaimVerdict
+from cactusshunt.decisions.once import complete_claim
+from cactusshunt.decisions.once import judge_claim
+from cactusshunt.edges.store import ABSENT
+from cactusshunt.edges.store import Commit
+from cactusshunt.edges.store import Put
+from cactusshunt.exceptions import StoreError
+from cactusshunt.exceptions import StoreUnavailableError
+from cactusshunt.schema.codec import decode_record
+from cactusshunt.schema.codec import encode_record
+from cactusshunt.schema.generated.messages import OnceRecord
+from cactusshunt.tasks.periodic import start_coroutine
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+
+    from cactusshunt.edges.store import Store
+
+log = Logger("claims")
+
+CALL_TIMEOUT_S = 1.0
+CLAIMS_PER_CALL = 100  # etcd takes 128 operations in one transaction
+LEASE_REUSE_S = 3600  # claims of one hour share a lease, which outlives the last of them
+KEPT_ANSWER_BYTES = 16 * 1024
+
+
+@dataclass(frozen=True, kw_only=True)
+class Claim:
+    """Verdict on a key, with the record that stands in the store."""
+
+    key: str
+    verdict: ClaimVerdict
+    record: OnceRecord
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Queued:
+    commit: Commit
+    written: Deferred[Result[bool, StoreError]]
+
+
+class OnceClaims:
+    """Owns this process's claims."""
+
+    def __init__(self, *, reactor: ReactorBase, store: Store) -> None:
+        self._reactor = reactor
+        self._store = store
+        self._queue: list[_Queued] = []
+        self._writing = False
+        self._lease_id = 0
+        self._lease_until = 0.0
+        self.calls = 0
+        self.claims = 0
+
+    def dump(self) -> dict[str, Any]:
+        """Return this task's state."""
+        return {"claims": self.claims, "calls": self.calls, "queued": len(self._queue)}
+
+    async def claim(self, key: str, fingerprint: str) -> Result[Claim, StoreError]:
+        """Try to claim a key; on an error the request must not be sent to an upstream."""
+        lease = await self._lease()
+        if lease.is_error():
+            return Error(lease.error)
+        record = OnceRecord(
+            claim_id=uuid.uuid4().hex,
+            fingerprint=fingerprint,
+            state="claimed",
+            claimed_at=self._reactor.seconds(),
+        )
+        self.claims += 1
+        put = Put(key=key, value=encode_record(record), lease_id=lease.ok)
+        written = await self._write(Commit(expected={key: ABSENT}, puts=[put]))
+        if written.is_ok() and written.ok:
+            return Ok(Claim(key=key, verdict=ClaimVerdict.GRANTED, record=record))
+        if written.is_error() and isinstance(written.error, StoreUnavailableError):
+            return Error(written.error)
+        return await self._read_back(key, record)
+
+    def complete(self, claim: Claim, *, status: int, content_type: str, body: bytes) -> None:
+        """Record that a request ran, with its answer if that is small."""
+        kept = len(body) <= KEPT_ANSWER_BYTES
+        done = complete_claim(
+            claim.record,
+            status=status,
+            content_type=content_type,
+            body=base64.b64encode(body).decode() if kept else "",
+        )
+        if not kept:
+            done = OnceRecord(
+                claim_id=done.claim_id,
+                fingerprint=done.fingerprint,
+                state="done",
+                claimed_at=done.claimed_at,
+            )
+        put = Put(key=claim.key, value=encode_record(done), lease_id=self._lease_id)
+        start_coroutine(self._write_later(Commit(puts=[put])))
+
+    def release(self, claim: Claim) -> None:
+        """Give up a claim on a request that certainly did not run."""
+        start_coroutine(self._write_later(Commit(deletes=[claim.key])))
+
+    async def _write_later(self, commit: Commit) -> None:
+        written = await self._write(commit)
+        if written.is_error():
+            log.warning("a claim stays open after its request ended: {}", written.error)
+
+    async def _read_back(self, key: str, record: OnceRecord) -> Result[Claim, StoreError]:
+        """Judge what stands in the store after a lost race or a lost answer."""
+        found = await self._store.read_key(key, deadline=self._reactor.seconds() + CALL_TIMEOUT_S)
+        if found.is_error():
+            return Error(found.error)
+        for entry in found.ok.entries:
+            standing = decode_record(entry.value, OnceRecord)
+            if standing.is_ok():
+                verdict = judge_claim(
+                    standing.ok, claim_id=record.claim_id, fingerprint=record.fingerprint
+                )
+                return Ok(Claim(key=key, verdict=verdict, record=standing.ok))
+        return Error(
+            StoreUnavailableError(
+                reason="The claim on the key was not found after a lost answer.",
+                remedy="Send the request again with the same key.",
+            )
+        )
+
+    async def _lease(self) -> Result[int, StoreError]:
+        now = self._reactor.seconds()
+        if self._lease_id and now < self._lease_until:
+            return Ok(self._lease_id)
+        granted = await self._store.grant_lease(
+            CLAIM_TTL_S + LEASE_REUSE_S, deadline=now + CALL_TIMEOUT_S
+        )
+        if granted.is_ok():
+            self._lease_id = granted.ok
+            self._lease_until = now + LEASE_REUSE_S
+        return granted
+
+    async def _write(self, commit: Commit) -> Result[bool, StoreError]:
+        queued = _Queued(commit=commit, written=Deferred())
+        self._queue.append(queued)
+        if not self._writing:
+            start_coroutine(self._write_queue())
+        return await queued.written
+
+    async def _write_queue(self) -> None:
+        self._writing = True
+        try:
+            while self._queue:
+                batch = self._queue[:CLAIMS_PER_CALL]
+                del self._queue[: len(batch)]
+                await self._write_batch(batch)
+        finally:
+            self._writing = False
+
+    async def _write_batch(self, batch: list[_Queued]) -> None:
+        self.calls += 1
+        result = await self._store.commit_each(
+            [queued.commit for queued in batch],
+            deadline=self._reactor.seconds() + CALL_TIMEOUT_S,
+        )
+        for position, queued in enumerate(batch):
+            answer: Result[bool, StoreError] = (
+                Ok(result.ok[position]) if result.is_ok() else Error(result.error)
+            )
+            queued.written.callback(answer)
--- /dev/null
+++ b/src/cactusshunt/tasks/entry/request_runner.py
@@ -0,0 +1,418 @@
+"""Runs one request to its end: claim, attempts, answer.
+
+Common to models and plain services; what differs is in the ``RequestPlan``.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+from logbook import Logger
+
+from cactusshunt.decisions.admission import Ticket
+from cactusshunt.decisions.attempt import AttemptEvent
+from cactusshunt.decisions.attempt import AttemptState
+from cactusshunt.decisions.attempt import Outcome
+from cactusshunt.decisions.attempt import advance_attempt
+from cactusshunt.decisions.attempt import combine_outcomes
+from cactusshunt.decisions.attempt import may_send_again
+from cactusshunt.exceptions import AnswerMismatchError
+from cactusshunt.exceptions import UpstreamBrokenError
+from cactusshunt.exceptions import UpstreamError
+from cactusshunt.exceptions import UpstreamNotReachedError
+from cactusshunt.exceptions import UpstreamRefusedError
+from cactusshunt.exceptions import UpstreamSilentError
+from cactusshunt.tasks.entry import problems
+from cactusshunt.tasks.entry.answer_body import BodyEnd
+from cactusshunt.tasks.entry.answer_body import EventStream
+from cactusshunt.tasks.entry.answer_body import WholeBody
+from cactusshunt.tasks.entry.dispatcher import Wish
+from cactusshunt.tasks.entry.upstream_client import UpstreamCall
+from cactusshunt.tasks.entry.upstream_client import abort_response
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+
+    from twisted.internet.base import ReactorBase
+    from twisted.web.client import Response
+
+    from cactusshunt.schema.generated.messages import UpstreamState
+    from cactusshunt.schema.generated.settings import UpstreamKind
+    from cactusshunt.tasks.entry.caller_request import CallerRequest
+    from cactusshunt.tasks.entry.demand_counter import DemandCounter
+    from cactusshunt.tasks.entry.dispatcher import Dispatcher
+    from cactusshunt.tasks.entry.upstream_client import UpstreamClient
+    from cactusshunt.tasks.problem import Problem
+
+log = Logger("request")
+
+SILENCE_S = 10.0  # longest silence within an answer
+ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
+MOST_ATTEMPTS = 4
+STREAM_TYPE = "text/event-stream"
+
+_EVENT_OF_ERROR: dict[type[UpstreamError], AttemptEvent] = {
+    UpstreamNotReachedError: AttemptEvent.CONNECT_FAILED,
+    UpstreamRefusedError: AttemptEvent.REFUSAL,
+    UpstreamBrokenError: AttemptEvent.CONNECTION_LOST,
+    UpstreamSilentError: AttemptEvent.SILENCE,
+    AnswerMismatchError: AttemptEvent.MISMATCH,
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class RequestPlan:
+    """What a model's or a service's request needs of the runner.
+
+    ``make_body`` returns the body for one upstream, which may hold another version of the model.
+    """
+
+    team: str
+    target: str
+    item: str
+    priority: int
+    wait_deadline: float
+    repeatable: bool
+    path: str
+    headers: dict[str, str]
+    first_byte_s: float
+    candidates: Callable[[], Collection[str]]
+    item_at: Callable[[str], str]
+    make_body: Callable[[str], bytes]
+    kind_of: Callable[[str], UpstreamKind]
+    prefix: str | None = None
+    is_model: bool = True
+
+
+@dataclass(frozen=True, kw_only=True)
+class Completed:
+    """The end of a request that has an answer; ``body`` is empty for one that was not kept."""
+
+    status: int
+    content_type: str
+    body: bytes
+    whole: bool = True
+
+
+@dataclass(kw_only=True)
+class _Progress:
+    """What the attempts of one request have come to."""
+
+    states: list[AttemptState] = field(default_factory=list)
+    tried: set[str] = field(default_factory=set)
+    item: str = ""
+    resume_after: str | None = None
+    error: UpstreamError | None = None
+    kept: list[bytes] = field(default_factory=list)
+
+
+class RequestRunner:
+    """Makes the attempts of requests."""
+
+    def __init__(
+        self,
+        *,
+        reactor: ReactorBase,
+        dispatcher: Dispatcher,
+        client: UpstreamClient,
+        demand: DemandCounter,
+        report_leaving: Callable[[str], None],
+    ) -> None:
+        self._reactor = reactor
+        self._dispatcher = dispatcher
+        self._client = client
+        self._demand = demand
+        self._report_leaving = report_leaving
+        self.attempts = 0
+        self.requests = 0
+        self.resumed = 0
+
+    async def run(self, caller: CallerRequest, plan: RequestPlan) -> Result[Completed, Problem]:
+        """Return the completed answer, already sent, or the problem to answer with.
+
+        A problem is only returned before the answer has begun; a stream that breaks later is
+        ended here with an error event.
+        """
+        self.requests += 1
+        self._demand.count_arrival(plan.target)
+        self._dispatcher.budget(plan.team).earn()
+        progress = _Progress()
+        while True:
+            assigned = await self._acquire(caller, plan, progress)
+            if assigned.is_error():
+                return self._give_up(caller, progress, assigned.error)
+            name = assigned.ok
+            progress.tried.add(name)
+            completed = await self._attempt(caller, plan, progress, name)
+            if completed is not None:
+                return Ok(completed)
+            stop = self._find_reason_to_stop(caller, plan, progress)
+            if stop is not None:
+                return self._give_up(caller, progress, stop)
+
+    async def _acquire(
+        self, caller: CallerRequest, plan: RequestPlan, progress: _Progress
+    ) -> Result[str, Problem]:
+        ticket = Ticket(
+            request_id=f"{caller.request_id}.{len(progress.states)}.{id(caller)}",
+            team=plan.team,
+            item=plan.item,
+            priority=plan.priority,
+            wait_deadline=(
+                min(plan.wait_deadline, caller.deadline) if not progress.states else caller.deadline
+            ),
+        )
+        candidates = self._candidates(caller, plan, progress)
+        untried = set(candidates()) - progress.tried
+        excluded = frozenset(progress.tried) if untried else frozenset()
+        assigned = await self._dispatcher.acquire(
+            Wish(
+                ticket=ticket,
+                candidates=candidates,
+                prefix=plan.prefix,
+                excluded=excluded,
+            )
+        )
+        if assigned.is_error():
+            self._demand.count_late(plan.target)
+            return Error(problems.refused_in_time(assigned.error.come_back_at))
+        return Ok(assigned.ok)
+
+    def _candidates(
+        self, caller: CallerRequest, plan: RequestPlan, progress: _Progress
+    ) -> Callable[[], Collection[str]]:
+        """Return the upstreams to choose from; for a begun stream those that continue it."""
+        if not caller.begun:
+            return plan.candidates
+        return lambda: [
+            name for name in plan.candidates() if self._can_continue(plan, progress, name)
+        ]
+
+    def _can_continue(self, plan: RequestPlan, progress: _Progress, name: str) -> bool:
+        upstream = self._dispatcher.router.upstreams.get(name)
+        if upstream is None or not plan.kind_of(upstream.kind).resumes:
+            return False
+        return plan.item_at(name) == progress.item
+
+    async def _attempt(
+        self, caller: CallerRequest, plan: RequestPlan, progress: _Progress, name: str
+    ) -> Completed | None:
+        """Make one attempt; ``None`` if it ended without a whole answer."""
+        self.attempts += 1
+        began_at = self._reactor.seconds()
+        try:
+            upstream = self._dispatcher.router.upstreams.get(name)
+            if upstream is None or (caller.gone and plan.repeatable):
+                progress.states.append(AttemptState.NOT_SENT)
+                progress.error = _gone(name)
+                return None
+            return await self._send(caller, plan, progress, upstream)
+        finally:
+            self._dispatcher.release(name)
+            if progress.states and progress.states[-1] is AttemptState.DONE:
+                self._demand.count_finished(plan.target, self._reactor.seconds() - began_at)
+
+    async def _send(
+        self,
+        caller: CallerRequest,
+        plan: RequestPlan,
+        progress: _Progress,
+        upstream: UpstreamState,
+    ) -> Completed | None:
+        now = self._reactor.seconds()
+        if not caller.begun:
+            progress.item = plan.item_at(upstream.vm)
+        state = advance_attempt(AttemptState.QUEUED, AttemptEvent.ADMITTED)
+        headers = dict(plan.headers)
+        if progress.resume_after is not None:
+            headers["Last-Event-ID"] = progress.resume_after
+        kind = plan.kind_of(upstream.kind)
+        opened = await self._client.open(
+            UpstreamCall(
+                address=upstream.address,
+                method=caller.method,
+                path=plan.path,
+                attempt_id=f"{caller.request_id}.{len(progress.states)}",
+                headers=headers,
+                body=plan.make_body(upstream.vm),
+                first_byte_by=min(caller.deadline, now + plan.first_byte_s),
+                fresh=not plan.repeatable or bool(progress.states),
+                refuses_before_work=kind.refuses_before_work,
+                must_echo_identity=plan.is_model,
+            )
+        )
+        if not opened.is_error() or not isinstance(opened.error, UpstreamNotReachedError):
+            state = advance_attempt(state, AttemptEvent.CONNECTED)
+        if opened.is_error():
+            self._note_failure(upstream.vm, progress, opened.error, state)
+            return None
+        state = advance_attempt(state, AttemptEvent.FIRST_BYTE)
+        return await self._read_answer(caller, plan, progress, upstream, opened.ok, state)
+
+    async def _read_answer(
+        self,
+        caller: CallerRequest,
+        plan: RequestPlan,
+        progress: _Progress,
+        upstream: UpstreamState,
+        response: Response,
+        state: AttemptState,
+    ) -> Completed | None:
+        retry_failed_answer = (
+            plan.is_model and plan.repeatable and response.code >= 500 and not caller.begun
+        )
+        content_type = _content_type(response)
+        streamed = content_type.startswith(STREAM_TYPE) and response.code == 200
+        if caller.begun and not streamed:
+            abort_response(response)
+            end, completed = BodyEnd.BROKEN, None
+        elif streamed:
+            end, completed = await self._pass_stream(caller, plan, progress, response)
+        else:
+            end, completed = await self._pass_whole(
+                caller, plan, response, answer=not retry_failed_answer
+            )
+        if completed is not None and retry_failed_answer:
+            end = BodyEnd.BROKEN
+        if completed is None or end is not BodyEnd.WHOLE:
+            event = AttemptEvent.SILENCE if end is BodyEnd.SILENT else AttemptEvent.CONNECTION_LOST
+            if end is BodyEnd.CANCELLED:
+                event = AttemptEvent.GIVEN_UP
+            progress.states.append(advance_attempt(state, event))
+            progress.error = UpstreamBrokenError(reason=end.value, remedy="Check the upstream.")
+            if end is not BodyEnd.CANCELLED:
+                self._dispatcher.router.ejection.record_failure(
+                    upstream.vm, self._reactor.seconds()
+                )
+            return None
+        progress.states.append(advance_attempt(state, AttemptEvent.LAST_BYTE))
+        self._dispatcher.router.ejection.record_success(upstream.vm)
+        return completed
+
+    async def _pass_stream(
+        self,
+        caller: CallerRequest,
+        plan: RequestPlan,
+        progress: _Progress,
+        response: Response,
+    ) -> tuple[BodyEnd, Completed | None]:
+        """Pass on events as they come; after a break the next attempt resumes behind them."""
+        keep = progress.kept.append if not plan.repeatable else None
+
+        def write(events: bytes) -> None:
+            caller.begin(response.code, head)
+            caller.write(events)
+            if keep is not None:
+                keep(events)
+
+        head = _headers(response)
+        reader = EventStream(reactor=self._reactor, silence_s=SILENCE_S, write=write)
+        cancels = plan.repeatable and not caller.gone
+        if cancels:
+            caller.request.registerProducer(reader, True)
+        response.deliverBody(reader)
+        end = await reader.ended
+        if cancels and not caller.gone:
+            caller.request.unregisterProducer()
+        progress.resume_after = reader.last_event_id or progress.resume_after
+        if end is not BodyEnd.WHOLE:
+            return end, None
+        caller.finish()
+        return end, Completed(
+            status=response.code, content_type=STREAM_TYPE, body=b"".join(progress.kept)
+        )
+
+    async def _pass_whole(
+        self, caller: CallerRequest, plan: RequestPlan, response: Response, *, answer: bool
+    ) -> tuple[BodyEnd, Completed | None]:
+        reader = WholeBody(
+            reactor=self._reactor,
+            silence_s=max(1.0, caller.deadline - self._reactor.seconds()),
+            limit=ANSWER_LIMIT_BYTES,
+            response=response,
+        )
+        response.deliverBody(reader)
+        if plan.repeatable and not caller.gone:
+            caller.request.notifyFinish().addErrback(lambda _: reader.cancel(BodyEnd.CANCELLED))
+        end = await reader.ended
+        if end is not BodyEnd.WHOLE:
+            return end, None
+        if answer:
+            caller.answer(response.code, _headers(response), reader.body)
+        return end, Completed(
+            status=response.code, content_type=_content_type(response), body=reader.body
+        )
+
+    def _note_failure(
+        self, name: str, progress: _Progress, error: UpstreamError, state: AttemptState
+    ) -> None:
+        progress.states.append(advance_attempt(state, _EVENT_OF_ERROR[type(error)]))
+        progress.error = error
+        if isinstance(error, UpstreamRefusedError):
+            if error.reason == "leaving":
+                self._dispatcher.router.mark_leaving(name, self._reactor.seconds())
+                self._report_leaving(name)
+            return
+        if isinstance(error, UpstreamSilentError) and len(progress.states) == 1:
+            self._client.drop_idle_connections()
+            return
+        self._dispatcher.router.ejection.record_failure(name, self._reactor.seconds())
+
+    def _find_reason_to_stop(
+        self, caller: CallerRequest, plan: RequestPlan, progress: _Progress
+    ) -> Problem | None:
+        """Return why no further attempt is made, or ``None`` if there is one."""
+        now = self._reactor.seconds()
+        error = progress.error or _gone("upstream")
+        outcome = combine_outcomes(progress.states)
+        failed = problems.upstream_failed(error, outcome, now)
+        if caller.gone and plan.repeatable:
+            return failed
+        if not may_send_again(progress.states[-1], repeatable=plan.repeatable):
+            return failed
+        if caller.begun and progress.resume_after is None:
+            return failed
+        if caller.begun and not self._candidates(caller, plan, progress)():
+            return failed
+        if len(progress.states) >= MOST_ATTEMPTS or now >= caller.deadline:
+            return failed
+        if not self._dispatcher.budget(plan.team).spend():
+            return failed
+        if caller.begun:
+            self.resumed += 1
+        return None
+
+    def _give_up(
+        self, caller: CallerRequest, progress: _Progress, problem: Problem
+    ) -> Result[Completed, Problem]:
+        now = self._reactor.seconds()
+        if caller.begun:
+            caller.break_off(problems.stream_broken(now))
+            return Ok(Completed(status=200, content_type=STREAM_TYPE, body=b"", whole=False))
+        if progress.states and combine_outcomes(progress.states) is not Outcome.NOT_RUN:
+            error = progress.error or _gone("upstream")
+            return Error(problems.upstream_failed(error, Outcome.UNKNOWN, now))
+        return Error(problem)
+
+
+def _gone(name: str) -> UpstreamError:
+    return UpstreamNotReachedError(reason=f"{name} is gone.", remedy="Another one is tried.")
+
+
+def _content_type(response: Response) -> str:
+    values = response.headers.getRawHeaders("Content-Type") or [""]
+    return str(values[0])
+
+
+def _headers(response: Response) -> list[tuple[str, str]]:
+    return [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, values in response.headers.getAllRawHeaders()
+        for value in values
+    ]
--- /dev/null
+++ b/src/cactusshunt/tasks/entry/service_requests.py
@@ -0,0 +1,91 @@
+"""Requests to plain services under ``/services/<team>/<service>/``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from cactusshunt.decisions.authorization import Access
+from cactusshunt.decisions.authorization import check_caller
+from cactusshunt.decisions.authorization import read_bearer_token
+from cactusshunt.schema.generated.settings import UpstreamKind
+from cactusshunt.tasks.entry import problems
+from cactusshunt.tasks.entry.caller_request import HOP_HEADERS
+from cactusshunt.tasks.entry.request_runner import RequestPlan
+
+if TYPE_CHECKING:
+    from cactusshunt.decisions.catalogue import Catalogue
+    from cactusshunt.decisions.router import Router
+    from cactusshunt.tasks.entry.caller_request import CallerRequest
+    from cactusshunt.tasks.problem import Problem
+
+SERVICE_PREFIX = "/services/"
+SERVICE_PRIORITY = 5
+QUEUE_WAIT_S = 1.6
+FIRST_BYTE_S = 60.0
+OWN_HEADERS = frozenset({"x-request-id", "x-request-deadline"})
+
+
+class ServiceRequests:
+    """Reads callers' requests to plain services."""
+
+    def __init__(self, *, router: Router) -> None:
+        self._router = router
+        self._catalogue: Catalogue | None = None
+
+    def set_catalogue(self, catalogue: Catalogue) -> None:
+        """Take the settings in force."""
+        self._catalogue = catalogue
+
+    def make_plan(self, caller: CallerRequest, now: float) -> Result[RequestPlan, Problem]:
+        """Return how to run a caller's request."""
+        if self._catalogue is None:
+            return Error(problems.not_ready(now))
+        team, _, rest = caller.path.removeprefix(SERVICE_PREFIX).partition("/")
+        name, slash, below = rest.partition("/")
+        token = read_bearer_token(caller.request.getHeader("Authorization"))
+        access = check_caller(self._catalogue.access, team, token)
+        if access is Access.NO_TOKEN:
+            return Error(problems.no_token())
+        if access is Access.WRONG_TOKEN:
+            return Error(problems.wrong_token())
+        service = self._catalogue.services.get(f"{team}/{name}")
+        if service is None:
+            return Error(problems.unknown_path(caller.path.partition("?")[0]))
+        body = caller.read_body()
+        item = f"{team}/{name}"
+        return Ok(
+            RequestPlan(
+                team=team,
+                target=item,
+                item=item,
+                priority=SERVICE_PRIORITY,
+                wait_deadline=now + QUEUE_WAIT_S,
+                repeatable=caller.key is None and caller.method in service.repeatable_methods,
+                path=f"{slash or '/'}{below}",
+                headers=_forwarded_headers(caller),
+                first_byte_s=FIRST_BYTE_S,
+                candidates=lambda: self._router.pool(service.pool),
+                item_at=lambda upstream: item,
+                make_body=lambda upstream: body,
+                kind_of=self._kind_of,
+                is_model=False,
+            )
+        )
+
+    def _kind_of(self, kind: str) -> UpstreamKind:
+        known = self._catalogue.upstream_kinds if self._catalogue is not None else {}
+        return known.get(kind, UpstreamKind())
+
+
+def _forwarded_headers(caller: CallerRequest) -> dict[str, str]:
+    """Return the caller's headers that concern the service; its token stays here."""
+    headers = {}
+    for name, values in caller.request.requestHeaders.getAllRawHeaders():
+        key = name.decode("latin-1").lower()
+        if key not in HOP_HEADERS and key not in OWN_HEADERS and key != "authorization":
+            headers[name.decode("latin-1")] = values[-1].decode("latin-1")
+    return headers
--- /dev/null
+++ b/src/cactusshunt/tasks/peer_socket.py
@@ -0,0 +1,120 @@
+"""ZeroMQ sockets between the system's processes, driven by the reactor."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import zmq
+
+from logbook import Logger
+from txzmq import ZmqConnection
+from txzmq import ZmqEndpoint
+from txzmq import ZmqEndpointType
+from txzmq import ZmqFactory
+
+from cactusshunt.schema.codec import decode_message
+from cactusshunt.schema.codec import encode_message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+log = Logger("peer_socket")
+
+HEARTBEAT_MS = 2000
+HEARTBEAT_TIMEOUT_MS = 6000
+QUEUED_MESSAGES = 256  # per connection; more are dropped and counted
+LARGEST_MESSAGE_BYTES = 64 * 1024 * 1024
+
+
+class PeerSocket(ZmqConnection):
+    """One socket; counts messages and bytes, and drops what it cannot send or read."""
+
+    highWaterMark = QUEUED_MESSAGES  # noqa: N815
+
+    def __init__(
+        self,
+        *,
+        factory: ZmqFactory,
+        receive: Callable[[bytes, Any], None],
+        identity: bytes | None = None,
+    ) -> None:
+        super().__init__(factory, identity=identity)
+        self._receive = receive
+        self.sent_messages = 0
+        self.sent_bytes = 0
+        self.received_messages = 0
+        self.received_bytes = 0
+        self.dropped_messages = 0
+        self.socket.set(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        self.socket.set(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        self.socket.set(zmq.MAXMSGSIZE, LARGEST_MESSAGE_BYTES)
+
+    def messageReceived(self, message: list[bytes]) -> None:  # noqa: N802
+        """Decode a message and pass it on with its sender's identity."""
+        sender, frames = self.split_sender(message)
+        self.received_messages += 1
+        self.received_bytes += sum(len(frame) for frame in frames)
+        result = decode_message(frames)
+        if result.is_error():
+            self.dropped_messages += 1
+            log.warning("message dropped: {}", result.error)
+            return
+        self._receive(sender, result.ok)
+
+    def split_sender(self, message: list[bytes]) -> tuple[bytes, list[bytes]]:
+        """Return the sender's identity, if the socket has one, and the other frames."""
+        return b"", message
+
+    def send_frames(self, frames: list[bytes]) -> None:
+        """Send frames, or drop and count them if the peer does not keep up."""
+        try:
+            self.send(frames)
+        except zmq.Again:
+            self.dropped_messages += 1
+            return
+        self.sent_messages += 1
+        self.sent_bytes += sum(len(frame) for frame in frames)
+
+
+class ServerSocket(PeerSocket):
+    """Bound socket that answers peers by their identity."""
+
+    socketType = zmq.ROUTER  # noqa: N815
+
+    def __init__(
+        self, *, factory: ZmqFactory, receive: Callable[[bytes, Any], None], address: str
+    ) -> None:
+        super().__init__(factory=factory, receive=receive)
+        self.socket.set(zmq.ROUTER_HANDOVER, 1)
+        self.addEndpoints([ZmqEndpoint(ZmqEndpointType.bind, f"tcp://{address}")])
+
+    def split_sender(self, message: list[bytes]) -> tuple[bytes, list[bytes]]:
+        """Return the identity frame and the other frames."""
+        return message[0], message[1:]
+
+    def send_to(self, identity: bytes, message: object) -> None:
+        """Send a message to a connected peer; to an unknown one it is dropped."""
+        self.send_frames([identity, *encode_message(message)])
+
+
+class ClientSocket(PeerSocket):
+    """Socket connected to one peer."""
+
+    socketType = zmq.DEALER  # noqa: N815
+
+    def __init__(
+        self,
+        *,
+        factory: ZmqFactory,
+        receive: Callable[[bytes, Any], None],
+        address: str,
+        identity: bytes,
+    ) -> None:
+        super().__init__(factory=factory, receive=receive, identity=identity)
+        self.addEndpoints([ZmqEndpoint(ZmqEndpointType.connect, f"tcp://{address}")])
+
+    def send_message(self, message: object) -> None:
+        """Send a message to the peer."""
+        self.send_frames(encode_message(message))
--- /dev/null
+++ b/src/cactusshunt/tasks/peer_task.py
@@ -0,0 +1,370 @@
+"""Digests between the control processes, and the link to this VM's entry process."""
+
+from __future__ import annotations
+
+import hashlib
+import uuid
+
+from collections import defaultdict
+from dataclasses import replace
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from logbook import Logger
+
+from cactusshunt.schema.generated.messages import EntryReport
+from cactusshunt.schema.generated.messages import ModelDemand
+from cactusshunt.schema.generated.messages import PeerDigest
+from cactusshunt.schema.generated.messages import RoutingTableRequest
+from cactusshunt.schema.generated.messages import SubjectVersion
+from cactusshunt.schema.generated.messages import SubtreeReply
+from cactusshunt.schema.generated.messages import SubtreeRequest
+from cactusshunt.schema.generated.messages import UpstreamState
+from cactusshunt.schema.generated.messages import VmListReply
+from cactusshunt.schema.generated.messages import VmListRequest
+from cactusshunt.tasks.control_messages import DemandReported
+from cactusshunt.tasks.control_messages import DutiesAssigned
+from cactusshunt.tasks.control_messages import ObserverHeard
+from cactusshunt.tasks.control_messages import SettingsAdopted
+from cactusshunt.tasks.control_messages import SubtreesOffered
+from cactusshunt.tasks.control_messages import UpstreamLeaving
+from cactusshunt.tasks.control_messages import UpstreamsObserved
+from cactusshunt.tasks.control_messages import UpstreamsRemoved
+from cactusshunt.tasks.control_messages import VmListRead
+from cactusshunt.tasks.peer_socket import ClientSocket
+from cactusshunt.tasks.peer_socket import ServerSocket
+from cactusshunt.tasks.periodic import Periodic
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+    from txzmq import ZmqFactory
+
+    from cactusshunt.decisions.adoption import AdoptedSettings
+    from cactusshunt.decisions.membership import Duties
+    from cactusshunt.decisions.membership import Membership
+    from cactusshunt.decisions.membership import Peer
+    from cactusshunt.schema.generated.messages import Vm
+    from cactusshunt.schema.generated.process import ProcessSettings
+    from cactusshunt.tasks.message_bus import MessageBus
+
+log = Logger("peers")
+
+DIGEST_INTERVAL_S = 1.0
+REFRESH_EVERY = 20  # digests after which one repeats the sender's whole own state
+
+
+class _Contact:
+    """What was already sent to one peer."""
+
+    def __init__(self, *, socket: ClientSocket, address: str) -> None:
+        self.socket = socket
+        self.address = address
+        self.sequence = 0
+        self.settings: dict[str, SubjectVersion] = {}
+        self.upstreams: dict[str, UpstreamState] = {}
+        self.vms: dict[str, Vm] = {}
+
+
+class PeerTask:
+    """Owns the peer sockets and the membership of this node."""
+
+    def __init__(
+        self,
+        *,
+        reactor: ReactorBase,
+        bus: MessageBus,
+        factory: ZmqFactory,
+        settings: ProcessSettings,
+        adopted: AdoptedSettings,
+        membership: Membership,
+    ) -> None:
+        self._reactor = reactor
+        self._bus = bus
+        self._factory = factory
+        self._settings = settings
+        self._adopted = adopted
+        self.membership = membership
+        self.incarnation = uuid.uuid4().hex
+        self._contacts: dict[str, _Contact] = {}
+        self._observed: dict[str, UpstreamState] = {}
+        self._relayed: dict[str, UpstreamState] = {}
+        self._zone_states: dict[str, UpstreamState] = {}
+        self._demand: dict[str, ModelDemand] = {}
+        self._duties: Duties | None = None
+        self.versions: dict[str, dict[str, SubjectVersion]] = defaultdict(dict)
+        self._server = ServerSocket(
+            factory=factory,
+            receive=self._receive,
+            address=f"{settings.address}:{settings.peer_port}",
+        )
+        self._entry_identity = f"{settings.vm}/entry".encode()
+        self._digests = Periodic(
+            reactor=reactor, interval_s=DIGEST_INTERVAL_S, run=self._send_digests
+        )
+        bus.subscribe(VmListRead, self._receive_vm_list)
+        bus.subscribe(SettingsAdopted, lambda _: self._digests.hurry())
+        bus.subscribe(UpstreamsObserved, self._receive_observation)
+        bus.subscribe(UpstreamsRemoved, self._receive_removal)
+        bus.subscribe(UpstreamLeaving, lambda _: self._digests.hurry())
+
+    def start(self) -> None:
+        """Begin to exchange digests."""
+        self._digests.start()
+
+    def stop(self) -> None:
+        """Close the sockets."""
+        self._digests.stop()
+        for contact in self._contacts.values():
+            contact.socket.shutdown()
+        self._server.shutdown()
+
+    def send_to_entry(self, message: object) -> None:
+        """Send a message to this VM's entry process, if it is connected."""
+        self._server.send_to(self._entry_identity, message)
+
+    def dump(self) -> dict[str, Any]:
+        """Return this task's state."""
+        now = self._reactor.seconds()
+        return {
+            "vms": len(self.membership.vms),
+            "live_peers": [peer.vm for peer in self.membership.live_peers(now)],
+            "reachable_zones": sorted(self.membership.reachable_zones(now)),
+            "contacts": len(self._contacts),
+            "sent_messages": self._total("sent_messages"),
+            "sent_bytes": self._total("sent_bytes"),
+            "received_messages": self._total("received_messages"),
+            "received_bytes": self._total("received_bytes"),
+            "dropped_messages": self._total("dropped_messages"),
+        }
+
+    def _total(self, name: str) -> int:
+        sockets = [self._server, *(contact.socket for contact in self._contacts.values())]
+        return sum(int(getattr(socket, name)) for socket in sockets)
+
+    def _receive(self, sender: bytes, message: object) -> None:
+        self._handle(message, sender)
+
+    @singledispatchmethod
+    def _handle(self, message: object, sender: bytes) -> None:
+        log.warning("unexpected {} from {}", type(message).__name__, sender)
+
+    @_handle.register
+    def _(self, message: PeerDigest, sender: bytes) -> None:
+        del sender
+        now = self._reactor.seconds()
+        self.membership.record_heard(message.vm, now)
+        local = message.availability_zone == self._settings.availability_zone
+        self._take_versions(message)
+        self._take_vms(message)
+        if message.upstreams:
+            states = tuple(message.upstreams)
+            if not local:
+                self._relayed.update({state.vm: state for state in states})
+            self._bus.publish(UpstreamsObserved(observer=message.vm, states=states))
+        self._bus.publish(ObserverHeard(observer=message.vm))
+        if local and message.demand:
+            self._bus.publish(DemandReported(demand=tuple(message.demand)))
+
+    @_handle.register
+    def _(self, message: SubtreeRequest, sender: bytes) -> None:
+        found = [self._adopted.get(subject) for subject in message.subjects]
+        subtrees = [subtree for subtree in found if subtree is not None]
+        self._server.send_to(sender, SubtreeReply(subtrees=subtrees))
+
+    @_handle.register
+    def _(self, message: SubtreeReply, sender: bytes) -> None:
+        del sender
+        self._bus.publish(SubtreesOffered(subtrees=tuple(message.subtrees)))
+
+    @_handle.register
+    def _(self, message: VmListRequest, sender: bytes) -> None:
+        del message
+        self._server.send_to(sender, VmListReply(vms=self.membership.vms))
+
+    @_handle.register
+    def _(self, message: VmListReply, sender: bytes) -> None:
+        del sender
+        self._replace_vms(list(message.vms))
+
+    @_handle.register
+    def _(self, message: EntryReport, sender: bytes) -> None:
+        del sender
+        for demand in message.demand:
+            self._demand[demand.item] = _add_demand(self._demand.get(demand.item), demand)
+        for name in message.leaving:
+            self._bus.publish(UpstreamLeaving(name=name))
+        self._bus.publish(DemandReported(demand=tuple(message.demand)))
+
+    @_handle.register
+    def _(self, message: RoutingTableRequest, sender: bytes) -> None:
+        del sender
+        self._bus.publish(message)
+
+    def _take_versions(self, message: PeerDigest) -> None:
+        known = self.versions[message.vm]
+        known.update({version.subject: version for version in message.settings})
+        newer = self._adopted.find_newer(message.settings)
+        contact = self._contacts.get(message.vm)
+        if newer and contact is not None:
+            contact.socket.send_message(SubtreeRequest(vm=self._settings.vm, subjects=newer))
+
+    def _take_vms(self, message: PeerDigest) -> None:
+        if self._duties is not None and self._duties.polls_vm_list:
+            return
+        if message.vms or message.removed_vms:
+            merged = {vm.vm: vm for vm in self.membership.vms}
+            merged.update({vm.vm: vm for vm in message.vms})
+            for name in message.removed_vms:
+                merged.pop(name, None)
+            self._replace_vms(list(merged.values()))
+        contact = self._contacts.get(message.vm)
+        differs = message.vm_list_hash and message.vm_list_hash != hash_vms(self.membership.vms)
+        if differs and contact is not None:
+            contact.socket.send_message(VmListRequest(vm=self._settings.vm))
+
+    def _receive_vm_list(self, message: VmListRead) -> None:
+        self._replace_vms(list(message.vms))
+
+    def _replace_vms(self, vms: list[Vm]) -> None:
+        gone = {vm.vm for vm in self.membership.vms} - {vm.vm for vm in vms}
+        self.membership.replace_vms(vms)
+        if gone:
+            self._bus.publish(UpstreamsRemoved(names=tuple(sorted(gone))))
+        self._assign_duties()
+        self._connect_contacts()
+
+    def _receive_observation(self, message: UpstreamsObserved) -> None:
+        for state in message.states:
+            if message.observer == self._settings.vm:
+                self._observed[state.vm] = state
+            if state.availability_zone == self._settings.availability_zone:
+                self._zone_states[state.vm] = state
+
+    def _receive_removal(self, message: UpstreamsRemoved) -> None:
+        for name in message.names:
+            for states in (self._observed, self._relayed, self._zone_states):
+                states.pop(name, None)
+
+    def _assign_duties(self) -> None:
+        duties = self.membership.duties(self._reactor.seconds())
+        if duties == self._duties:
+            return
+        self._duties = duties
+        self._observed = {
+            name: state for name, state in self._observed.items() if name in duties.upstreams
+        }
+        self._bus.publish(DutiesAssigned(duties=duties))
+
+    def _connect_contacts(self) -> None:
+        wanted = {peer.vm: peer for peer in self.membership.contacts(self._reactor.seconds())}
+        for name in [name for name in self._contacts if name not in wanted]:
+            self._contacts.pop(name).socket.shutdown()
+            self.versions.pop(name, None)
+        for name, peer in wanted.items():
+            contact = self._contacts.get(name)
+            if contact is not None and contact.address != peer.address:
+                contact.socket.shutdown()
+                contact = None
+            if contact is None:
+                self._contacts[name] = self._connect(peer)
+
+    def _connect(self, peer: Peer) -> _Contact:
+        socket = ClientSocket(
+            factory=self._factory,
+            receive=self._receive,
+            address=peer.address,
+            identity=f"{self._settings.vm}/control/{self.incarnation[:8]}".encode(),
+        )
+        return _Contact(socket=socket, address=peer.address)
+
+    async def _send_digests(self) -> None:
+        self._assign_duties()
+        self._connect_contacts()
+        demand = list(self._demand.values())
+        self._demand = {}
+        peers = {peer.vm: peer for peer in self.membership.peers()}
+        for name, contact in self._contacts.items():
+            peer = peers.get(name)
+            if peer is not None:
+                local = peer.availability_zone == self._settings.availability_zone
+                contact.socket.send_message(
+                    self._make_local_digest(contact, demand)
+                    if local
+                    else self._make_remote_digest(contact)
+                )
+
+    def _make_local_digest(self, contact: _Contact, demand: list[ModelDemand]) -> PeerDigest:
+        states = {**self._relayed, **self._observed}
+        return self._make_digest(contact, states, demand, self._adopted.versions())
+
+    def _make_remote_digest(self, contact: _Contact) -> PeerDigest:
+        """Tell another zone what this whole zone has in force, and its items without loads."""
+        states = {name: replace(state, load_level=0) for name, state in self._zone_states.items()}
+        return self._make_digest(contact, states, [], self.zone_versions())
+
+    def zone_versions(self) -> list[SubjectVersion]:
+        """Return the oldest version of each subject in force at any live node of this zone."""
+        lowest = {version.subject: version for version in self._adopted.versions()}
+        for peer in self.membership.live_peers(self._reactor.seconds()):
+            for subject, version in list(lowest.items()):
+                known = self.versions.get(peer.vm, {}).get(subject)
+                if known is not None and _order(known) < _order(version):
+                    lowest[subject] = known
+        return [lowest[subject] for subject in sorted(lowest)]
+
+    def _make_digest(
+        self,
+        contact: _Contact,
+        states: dict[str, UpstreamState],
+        demand: list[ModelDemand],
+        versions: list[SubjectVersion],
+    ) -> PeerDigest:
+        """Return what changed since the last digest to this contact."""
+        if contact.sequence % REFRESH_EVERY == 0:
+            contact.settings = {}
+            contact.upstreams = {}
+        contact.sequence += 1
+        vms = {vm.vm: vm for vm in self.membership.vms}
+        lister = self._duties is not None and self._duties.polls_vm_list
+        changed_vms = [vm for name, vm in vms.items() if contact.vms.get(name) != vm]
+        digest = PeerDigest(
+            vm=self._settings.vm,
+            availability_zone=self._settings.availability_zone,
+            incarnation=self.incarnation,
+            sequence=contact.sequence,
+            settings=[v for v in versions if contact.settings.get(v.subject) != v],
+            upstreams=[s for name, s in states.items() if contact.upstreams.get(name) != s],
+            demand=demand,
+            vms=changed_vms if lister and contact.vms else [],
+            removed_vms=sorted(contact.vms.keys() - vms.keys()) if lister else [],
+            vm_list_hash=hash_vms(self.membership.vms) if lister else "",
+        )
+        contact.settings = {version.subject: version for version in versions}
+        contact.upstreams = states
+        contact.vms = vms
+        return digest
+
+
+def hash_vms(vms: list[Vm]) -> str:
+    """Return a hash of a VM list sorted by name."""
+    return hashlib.blake2b(msgspec.msgpack.encode(vms), digest_size=8).hexdigest()
+
+
+def _order(version: SubjectVersion) -> tuple[int, int]:
+    return (version.generation, version.revision)
+
+
+def _add_demand(before: ModelDemand | None, demand: ModelDemand) -> ModelDemand:
+    if before is None:
+        return demand
+    return ModelDemand(
+        item=demand.item,
+        arrivals=before.arrivals + demand.arrivals,
+        waiting=max(before.waiting, demand.waiting),
+        late=before.late + demand.late,
+        finished=before.finished + demand.finished,
+        busy_s=before.busy_s + demand.busy_s,
+    )
--- /dev/null
+++ b/src/cactusshunt/tasks/placement_task.py
@@ -0,0 +1,348 @@
+"""Placement in one zone: settles records from reports, plans, and gives orders.
+
+Runs at every node and acts only while this node holds the zone's lease.
+"""
+
+from __future__ import annotations
+
+import uuid
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Any
+
+from logbook import Logger
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import DeferredList
+
+from cactusshunt.decisions.catalogue import Catalogue
+from cactusshunt.decisions.demand import DemandEstimates
+from cactusshunt.decisions.ledger import open_orders
+from cactusshunt.decisions.ledger import open_record
+from cactusshunt.decisions.ledger import record_order
+from cactusshunt.decisions.ledger import replace_order
+from cactusshunt.decisions.ledger import settle_record
+from cactusshunt.decisions.ledger import withdraw_order
+from cactusshunt.decisions.placement_input import EngineView
+from cactusshunt.decisions.placement_input import PlacementInput
+from cactusshunt.decisions.placement_input import Plan
+from cactusshunt.decisions.planner import make_plan
+from cactusshunt.exceptions import OrderNotSentError
+from cactusshunt.exceptions import OrderRefusedError
+from cactusshunt.schema.generated.messages import Order
+from cactusshunt.schema.generated.settings import UpstreamKind
+from cactusshunt.tasks.control_messages import DemandReported
+from cactusshunt.tasks.control_messages import SettingsAdopted
+from cactusshunt.tasks.engine_records import EngineRecords
+from cactusshunt.tasks.periodic import Periodic
+from cactusshunt.tasks.periodic import start_coroutine
+
+if TYPE_CHECKING:
+    from expression import Result
+    from twisted.internet.base import ReactorBase
+
+    from cactusshunt.decisions.membership import Membership
+    from cactusshunt.decisions.placement_input import PlannedOrder
+    from cactusshunt.edges.engine import EngineControl
+    from cactusshunt.edges.store import Store
+    from cactusshunt.exceptions import LedgerError
+    from cactusshunt.schema.generated.messages import EngineRecord
+    from cactusshunt.schema.generated.messages import EngineReport
+    from cactusshunt.schema.generated.messages import Vm
+    from cactusshunt.schema.generated.process import ProcessSettings
+    from cactusshunt.tasks.lease_task import LeaseTask
+    from cactusshunt.tasks.message_bus import MessageBus
+    from cactusshunt.tasks.routing_task import RoutingTask
+
+log = Logger("placement")
+
+TICK_S = 1.0
+REPORT_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 2.0  # also the longest time between recording and sending an order
+REPORT_VALID_S = 10.0  # silence after which an engine is planned around
+SWEEP_S = 30.0  # interval at which engines without open orders are asked
+ORDERS_PER_TICK = 16
+REPLACE_AFTER_S = 3.0  # unacknowledged time after which a fence-checking engine is asked again
+
+
+class PlacementTask:
+    """Owns the zone's records while this node holds the lease."""
+
+    def __init__(
+        self,
+        *,
+        reactor: ReactorBase,
+        bus: MessageBus,
+        store: Store,
+        engines: EngineControl,
+        lease: LeaseTask,
+        membership: Membership,
+        routing: RoutingTask,
+        settings: ProcessSettings,
+    ) -> None:
+        self._reactor = reactor
+        self._engines = engines
+        self._lease = lease
+        self._membership = membership
+        self._routing = routing
+        self._settings = settings
+        self._clock_error_s = settings.clock_error_ms / 1000
+        self._records = EngineRecords(
+            store=store,
+            availability_zone=settings.availability_zone,
+            clock_error_s=self._clock_error_s,
+        )
+        self._catalogue = Catalogue()
+        self._has_settings = False
+        self._demand = DemandEstimates()
+        self._reports: dict[str, EngineReport] = {}
+        self._reported_at: dict[str, float] = {}
+        self._records_fence = 0
+        self._plan = Plan()
+        self.orders_sent = 0
+        self._ticks = Periodic(reactor=reactor, interval_s=TICK_S, run=self._tick)
+        bus.subscribe(SettingsAdopted, self._receive_settings)
+        bus.subscribe(DemandReported, self._receive_demand)
+
+    def start(self) -> None:
+        """Begin to plan."""
+        self._ticks.start()
+
+    def stop(self) -> None:
+        """Give no more orders."""
+        self._ticks.stop()
+
+    def dump(self) -> dict[str, Any]:
+        """Return this task's state."""
+        return {
+            "records": list(self._records.records.values()),
+            "out_of_reach": list(self._plan.out_of_reach),
+            "planned": list(self._plan.orders),
+            "orders_sent": self.orders_sent,
+            "demand": self._demand.rates(),
+        }
+
+    def _receive_settings(self, message: SettingsAdopted) -> None:
+        self._catalogue = message.catalogue
+        self._has_settings = True
+
+    def _receive_demand(self, message: DemandReported) -> None:
+        self._demand.add(message.demand)
+
+    async def _tick(self) -> None:
+        now = self._reactor.seconds()
+        self._demand.update(now)
+        if not self._lease.is_held() or not self._has_settings:
+            return
+        if self._records_fence != self._lease.fence:
+            self._records.forget()
+            self._records_fence = self._lease.fence
+        if not self._records.loaded and not await self._records.load(now):
+            return
+        await self._read_reports(now)
+        await self._settle_all()
+        await self._remove_gone()
+        await self._replace_lost()
+        await self._give_orders()
+
+    def _own_engines(self) -> list[Vm]:
+        return [
+            vm
+            for vm in self._membership.vms
+            if vm.role == "engine" and vm.availability_zone == self._settings.availability_zone
+        ]
+
+    async def _read_reports(self, now: float) -> None:
+        wanted = [vm for vm in self._own_engines() if self._is_due(vm.vm, now)]
+        await DeferredList([Deferred.fromCoroutine(self._read_report(vm)) for vm in wanted])
+
+    def _is_due(self, engine: str, now: float) -> bool:
+        record = self._records.records.get(engine)
+        if record is None or open_orders(record):
+            return True
+        state = self._routing.states.get(engine)
+        report = self._reports.get(engine)
+        if report is None or now - self._reported_at.get(engine, 0.0) > SWEEP_S:
+            return True
+        items = sorted(resident.item for resident in report.resident)
+        return state is not None and list(state.items) != items
+
+    async def _read_report(self, vm: Vm) -> None:
+        result = await self._engines.fetch_report(
+            vm.address, deadline=self._reactor.seconds() + REPORT_TIMEOUT_S
+        )
+        if result.is_ok() and result.ok.engine == vm.vm:
+            self._reports[vm.vm] = result.ok
+            self._reported_at[vm.vm] = self._reactor.seconds()
+
+    async def _settle_all(self) -> None:
+        for engine, report in list(self._reports.items()):
+            record = self._records.records.get(engine)
+            if record is None:
+                await self._write(open_record(report, self._settings.availability_zone), None)
+                continue
+            settled = settle_record(record, report, clock_error_s=self._clock_error_s)
+            if replace(settled, reported_at=record.reported_at) == record:
+                continue
+            released = record.pending if settled.pending is None else None
+            await self._write(settled, released)
+
+    async def _write(self, record: EngineRecord, released: Order | None) -> bool:
+        return await self._records.write_settled(
+            record, released=released, created=self._fenced(), now=self._reactor.seconds()
+        )
+
+    def _fenced(self) -> dict[str, int]:
+        """Return the condition under which this node's writes take effect."""
+        return {self._lease.key: self._lease.fence}
+
+    async def _remove_gone(self) -> None:
+        listed = {vm.vm for vm in self._own_engines()}
+        if not listed:
+            return
+        for engine, record in list(self._records.records.items()):
+            if engine not in listed and not open_orders(record):
+                self._reports.pop(engine, None)
+                await self._records.remove(
+                    engine, created=self._fenced(), now=self._reactor.seconds()
+                )
+
+    async def _replace_lost(self) -> None:
+        """Repeat orders that fence-checking engines did not take, under a higher fence."""
+        now = self._reactor.seconds()
+        kinds = {vm.vm: vm.kind for vm in self._own_engines()}
+        for engine, record in list(self._records.records.items()):
+            pending = record.pending
+            report = self._reports.get(engine)
+            if pending is None or report is None or not self._kind(kinds.get(engine)).checks_fence:
+                continue
+            sent_at = pending.sent_before - ORDER_TIMEOUT_S
+            if report.highest_fence >= pending.fence or now < sent_at + REPLACE_AFTER_S:
+                continue
+            order = self._make_order(record, pending.action, pending.item, pending.memory_mib)
+            order = replace(order, slot=pending.slot)
+            await self._record_and_send(replace_order(record, order), order)
+
+    async def _give_orders(self) -> None:
+        self._plan = make_plan(self._describe_zone())
+        if self._plan.out_of_reach:
+            log.error("out of reach in this zone: {}", ", ".join(self._plan.out_of_reach))
+        if any(order.action == "load" for order in self._plan.orders):
+            await self._records.load_slots(self._reactor.seconds())
+        for planned in self._plan.orders[:ORDERS_PER_TICK]:
+            if not self._lease.is_held() or not self._records.loaded:
+                return
+            await self._give_order(planned)
+
+    def _describe_zone(self) -> PlacementInput:
+        now = self._reactor.seconds()
+        zones = self._membership.reachable_zones(now)
+        leaving = {vm.vm for vm in self._own_engines() if vm.leaving}
+        listed = {vm.vm for vm in self._own_engines()}
+        return PlacementInput(
+            availability_zone=self._settings.availability_zone,
+            reachable_zones=frozenset(zones),
+            items=self._catalogue.items,
+            engines=tuple(
+                self._view(record, leaving)
+                for engine, record in sorted(self._records.records.items())
+                if engine in listed
+            ),
+            objective=self._catalogue.objective,
+            now=now,
+            demand=self._demand.rates(),
+            service_s=self._demand.service_s(),
+            remote_holders=self._count_remote_holders(zones),
+        )
+
+    def _view(self, record: EngineRecord, leaving: set[str]) -> EngineView:
+        engine = record.engine
+        report = self._reports.get(engine)
+        state = self._routing.states.get(engine)
+        gone = state is not None and (state.leaving or state.stale)
+        silent = self._reactor.seconds() - self._reported_at.get(engine, 0.0) > SWEEP_S * 2
+        return EngineView(
+            record=record,
+            slots=report.slots if report is not None else 1,
+            available=not (gone or silent or engine in leaving),
+        )
+
+    def _count_remote_holders(self, zones: set[str]) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        for state in self._routing.states.values():
+            if state.availability_zone == self._settings.availability_zone:
+                continue
+            if state.availability_zone not in zones or state.leaving or state.stale:
+                continue
+            for item in state.items:
+                counts[item] = counts.get(item, 0) + 1
+        return counts
+
+    async def _give_order(self, planned: PlannedOrder) -> None:
+        record = self._records.records[planned.engine]
+        order = self._make_order(record, planned.action, planned.item, planned.memory_mib)
+        if planned.action == "load":
+            slot = self._records.choose_slot(self._catalogue.weight_store, self._reactor.seconds())
+            if slot is None:
+                return
+            order = replace(order, slot=slot)
+        await self._record_and_send(record_order(record, order), order)
+
+    def _make_order(self, record: EngineRecord, action: str, item: str, memory_mib: int) -> Order:
+        now = self._reactor.seconds()
+        kinds = {vm.vm: vm.kind for vm in self._own_engines()}
+        limit_s = self._kind(kinds.get(record.engine)).order_arrival_limit_ms / 1000
+        sent_before = now + ORDER_TIMEOUT_S
+        return Order(
+            order_id=uuid.uuid4().hex,
+            action="load" if action == "load" else "unload",
+            item=item,
+            memory_mib=memory_mib,
+            fence=record.fence + 1,
+            sent_before=sent_before,
+            arrives_before=sent_before + limit_s,
+        )
+
+    def _kind(self, name: str | None) -> UpstreamKind:
+        return self._catalogue.upstream_kinds.get(name or "", UpstreamKind())
+
+    async def _record_and_send(
+        self, recorded: Result[EngineRecord, LedgerError], order: Order
+    ) -> None:
+        if recorded.is_error():
+            log.info("order {} {} not given: {}", order.action, order.item, recorded.error)
+            return
+        record = recorded.ok
+        written = await self._records.write_order(
+            record,
+            order,
+            limits=self._catalogue.weight_store,
+            created=self._fenced(),
+            now=self._reactor.seconds(),
+        )
+        if written:
+            start_coroutine(self._send(record, order))
+
+    async def _send(self, record: EngineRecord, order: Order) -> None:
+        """Send a recorded order unless its time or this node's lease has passed."""
+        addresses = {vm.vm: vm.address for vm in self._own_engines()}
+        address = addresses.get(record.engine)
+        late = self._reactor.seconds() >= order.sent_before or not self._lease.is_held()
+        if address is None or late:
+            return
+        self.orders_sent += 1
+        log.info("{} {} at {}, fence {}", order.action, order.item, record.engine, order.fence)
+        result = await self._engines.send_order(address, order, deadline=order.sent_before)
+        if result.is_ok():
+            return
+        log.warning("order {} at {}: {}", order.order_id, record.engine, result.error)
+        refused = isinstance(result.error, OrderRefusedError)
+        if refused or isinstance(result.error, OrderNotSentError):
+            await self._withdraw(record.engine, order, sent=refused)
+
+    async def _withdraw(self, engine: str, order: Order, *, sent: bool) -> None:
+        record = self._records.records.get(engine)
+        if record is None or record.pending is None or not self._lease.is_held():
+            return
+        if record.pending.order_id == order.order_id:
+            await self._write(withdraw_order(record, order.order_id, sent=sent), order)
--- /dev/null
+++ b/src/cactusshunt/tasks/routing_task.py
@@ -0,0 +1,135 @@
+"""Routing table that the control process keeps for this VM's entry process."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cactusshunt.schema.generated.messages import RoutingTable
+from cactusshunt.schema.generated.messages import RoutingTableRequest
+from cactusshunt.schema.generated.messages import UpstreamState
+from cactusshunt.schema.generated.messages import UpstreamUpdate
+from cactusshunt.tasks.control_messages import ObserverHeard
+from cactusshunt.tasks.control_messages import SettingsAdopted
+from cactusshunt.tasks.control_messages import UpstreamLeaving
+from cactusshunt.tasks.control_messages import UpstreamsObserved
+from cactusshunt.tasks.control_messages import UpstreamsRemoved
+from cactusshunt.tasks.periodic import Periodic
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+
+    from cactusshunt.schema.generated.messages import Subtree
+    from cactusshunt.tasks.message_bus import MessageBus
+    from cactusshunt.tasks.peer_task import PeerTask
+
+UPDATE_INTERVAL_S = 0.5
+OBSERVER_TIMEOUT_S = 5.0
+
+
+class RoutingTask:
+    """Owns the upstream states of all zones as this node knows them."""
+
+    def __init__(self, *, reactor: ReactorBase, bus: MessageBus, peers: PeerTask, vm: str) -> None:
+        self._reactor = reactor
+        self._peers = peers
+        self._vm = vm
+        self._subtrees: tuple[Subtree, ...] | None = None
+        self._states: dict[str, UpstreamState] = {}
+        self._observer: dict[str, str] = {}
+        self._heard_at: dict[str, float] = {}
+        self._leaving: set[str] = set()
+        self._sent: dict[str, UpstreamState] = {}
+        self._sequence = 0
+        self._updates = Periodic(
+            reactor=reactor, interval_s=UPDATE_INTERVAL_S, run=self._send_update
+        )
+        bus.subscribe(SettingsAdopted, self._receive_settings)
+        bus.subscribe(UpstreamsObserved, self._receive_observation)
+        bus.subscribe(UpstreamsRemoved, self._receive_removal)
+        bus.subscribe(UpstreamLeaving, self._receive_leaving)
+        bus.subscribe(ObserverHeard, self._receive_heard)
+        bus.subscribe(RoutingTableRequest, lambda _: self._send_table())
+
+    @property
+    def states(self) -> dict[str, UpstreamState]:
+        """Return the upstreams' states, for reading."""
+        return self._states
+
+    def start(self) -> None:
+        """Begin to update the entry process."""
+        self._updates.start()
+
+    def stop(self) -> None:
+        """Stop updating."""
+        self._updates.stop()
+
+    def dump(self) -> dict[str, Any]:
+        """Return this task's state."""
+        return {"upstreams": list(self._states.values())}
+
+    def _receive_settings(self, message: SettingsAdopted) -> None:
+        self._subtrees = message.subtrees
+        self._send_table()
+
+    def _receive_observation(self, message: UpstreamsObserved) -> None:
+        self._heard_at[message.observer] = self._reactor.seconds()
+        for state in message.states:
+            leaving = state.leaving or state.vm in self._leaving
+            self._states[state.vm] = replace(state, leaving=leaving)
+            self._observer[state.vm] = message.observer
+
+    def _receive_removal(self, message: UpstreamsRemoved) -> None:
+        for name in message.names:
+            self._states.pop(name, None)
+            self._observer.pop(name, None)
+            self._leaving.discard(name)
+
+    def _receive_leaving(self, message: UpstreamLeaving) -> None:
+        self._leaving.add(message.name)
+        state = self._states.get(message.name)
+        if state is not None:
+            self._states[message.name] = replace(state, leaving=True)
+        self._updates.hurry()
+
+    def _receive_heard(self, message: ObserverHeard) -> None:
+        self._heard_at[message.observer] = self._reactor.seconds()
+
+    def _current(self) -> dict[str, UpstreamState]:
+        now = self._reactor.seconds()
+        return {name: self._age(state, now) for name, state in self._states.items()}
+
+    def _age(self, state: UpstreamState, now: float) -> UpstreamState:
+        observer = self._observer.get(state.vm, "")
+        if observer == self._vm or state.role == "service":
+            return state
+        if now - self._heard_at.get(observer, 0.0) <= OBSERVER_TIMEOUT_S:
+            return state
+        return replace(state, stale=True)
+
+    def _send_table(self) -> None:
+        if self._subtrees is None:
+            return
+        self._sent = self._current()
+        self._sequence += 1
+        self._peers.send_to_entry(
+            RoutingTable(
+                sequence=self._sequence,
+                subtrees=self._subtrees,
+                upstreams=list(self._sent.values()),
+                entries=1 + len(self._peers.membership.live_peers(self._reactor.seconds())),
+            )
+        )
+
+    async def _send_update(self) -> None:
+        if self._subtrees is None:
+            return
+        current = self._current()
+        changed = [state for name, state in current.items() if self._sent.get(name) != state]
+        removed = sorted(self._sent.keys() - current.keys())
+        self._sent = current
+        self._sequence += 1
+        self._peers.send_to_entry(
+            UpstreamUpdate(sequence=self._sequence, upstreams=changed, removed=removed)
+        )
--- /dev/null
+++ b/src/cactusshunt/tasks/settings_task.py
@@ -0,0 +1,373 @@
+"""Settings at one node: watching the store, accepting operators' writes, adopting versions.
+
+Operators write below ``teams/`` and ``deployment/``. A write becomes an accepted version when a
+node puts the whole judged subtree at ``accepted/<subject>`` by compare-and-swap; nodes adopt only
+accepted versions, ordered by the revision of that key.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Any
+
+from logbook import Logger
+
+from cactusshunt.decisions.adoption import AdoptedSettings
+from cactusshunt.decisions.adoption import Verdict
+from cactusshunt.decisions.catalogue import DEPLOYMENT_SUBJECT
+from cactusshunt.decisions.catalogue import Catalogue
+from cactusshunt.decisions.catalogue import build_catalogue
+from cactusshunt.decisions.subtree import judge_subtree
+from cactusshunt.edges.store import ABSENT
+from cactusshunt.edges.store import Commit
+from cactusshunt.edges.store import Put
+from cactusshunt.schema.codec import decode_record
+from cactusshunt.schema.codec import encode_record
+from cactusshunt.schema.generated.messages import Subtree
+from cactusshunt.tasks.control_messages import DutiesAssigned
+from cactusshunt.tasks.control_messages import SettingsAdopted
+from cactusshunt.tasks.control_messages import SubtreesOffered
+from cactusshunt.tasks.periodic import Periodic
+from cactusshunt.tasks.periodic import start_coroutine
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+
+    from cactusshunt.edges.store import Change
+    from cactusshunt.edges.store import Entry
+    from cactusshunt.edges.store import Snapshot
+    from cactusshunt.edges.store import Store
+    from cactusshunt.edges.store_watch import StoreWatch
+    from cactusshunt.exceptions import SettingsError
+    from cactusshunt.tasks.message_bus import MessageBus
+
+log = Logger("settings")
+
+ACCEPTED_PREFIX = "accepted/"
+WRITTEN_PREFIXES = ("teams/", "deployment/")
+CALL_TIMEOUT_S = 2.0
+CHECK_INTERVAL_S = 3.0  # longest time for which a silently ended watch goes unnoticed
+ACCEPT_DELAY_S = 0.15  # lets an operator's writes of several keys arrive together
+REGRESSION_CONFIRMATIONS = 2  # checks in a row before an older store is taken as restored
+
+
+class SettingsTask:
+    """Owns the settings in force at this node."""
+
+    def __init__(
+        self, *, reactor: ReactorBase, bus: MessageBus, store: Store, accept_delay_s: float
+    ) -> None:
+        self._reactor = reactor
+        self._bus = bus
+        self._store = store
+        self._accept_delay_s = ACCEPT_DELAY_S + accept_delay_s
+        self._adopted = AdoptedSettings()
+        self._catalogue = Catalogue()
+        self._written: dict[str, dict[str, tuple[str, int]]] = defaultdict(dict)
+        self._accepted_revisions: dict[str, int] = {}
+        self._rejected: dict[str, tuple[SettingsError, ...]] = {}
+        self._accepting: set[str] = set()
+        self._older_seen: dict[str, int] = defaultdict(int)
+        self._watches: list[StoreWatch] = []
+        self._watches_store = True
+        self._checked_revision = 0
+        self._reachable = False
+        self._check = Periodic(reactor=reactor, interval_s=CHECK_INTERVAL_S, run=self._check_store)
+        bus.subscribe(SubtreesOffered, self._receive_offer)
+        bus.subscribe(DutiesAssigned, self._receive_duties)
+
+    @property
+    def adopted(self) -> AdoptedSettings:
+        """Return the settings in force, for reading."""
+        return self._adopted
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """Return the typed view of the settings in force."""
+        return self._catalogue
+
+    @property
+    def rejected(self) -> dict[str, tuple[SettingsError, ...]]:
+        """Return why each subject whose written state is not accepted was rejected."""
+        return self._rejected
+
+    def start(self) -> None:
+        """Begin to follow the store."""
+        self._check.start()
+
+    def stop(self) -> None:
+        """Close the watches."""
+        self._check.stop()
+        self._close_watches()
+
+    def dump(self) -> dict[str, Any]:
+        """Return this task's state."""
+        return {
+            "versions": self._adopted.versions(),
+            "rejected": {
+                subject: [str(error) for error in errors]
+                for subject, errors in self._rejected.items()
+            },
+            "store_reachable": self._reachable,
+            "store_regressed_to": self._adopted.store_regressed_to,
+            "watching": len(self._watches),
+        }
+
+    def written_revisions(self, subject: str) -> dict[str, int]:
+        """Return the modification revision of each written document."""
+        return {path: found[1] for path, found in self._written.get(subject, {}).items()}
+
+    def written_documents(self, subject: str) -> dict[str, str]:
+        """Return the written documents of a subject, accepted or not."""
+        return {path: found[0] for path, found in self._written.get(subject, {}).items()}
+
+    def _receive_duties(self, message: DutiesAssigned) -> None:
+        if message.duties.watches_store == self._watches_store:
+            return
+        self._watches_store = message.duties.watches_store
+        if self._watches_store:
+            self._check.hurry()
+        else:
+            self._close_watches()
+
+    def _receive_offer(self, message: SubtreesOffered) -> None:
+        adopted = [subtree for subtree in message.subtrees if self._adopt(subtree)]
+        if adopted:
+            self._publish()
+
+    def _adopt(self, subtree: Subtree) -> bool:
+        judgement = self._adopted.offer(subtree)
+        if judgement.verdict is Verdict.REJECTED:
+            log.error("accepted subtree {} is not valid here", subtree.subject)
+            self._rejected[subtree.subject] = judgement.errors
+        return judgement.verdict is Verdict.ADOPTED
+
+    def _publish(self) -> None:
+        self._catalogue = build_catalogue(self._adopted.subtrees)
+        self._bus.publish(
+            SettingsAdopted(catalogue=self._catalogue, subtrees=tuple(self._adopted.subtrees))
+        )
+
+    async def _check_store(self) -> None:
+        """Read what is new; open the watches if they are not open."""
+        if not self._watches_store:
+            return
+        if not self._watches:
+            await self._load_all()
+            return
+        result = await self._store.read_prefix(
+            ACCEPTED_PREFIX, deadline=self._deadline(), changed_after=self._checked_revision
+        )
+        if result.is_error():
+            self._reachable = False
+            return
+        snapshot: Snapshot = result.ok
+        missed = any(self._is_newer(entry) for entry in snapshot.entries)
+        if missed or not self._adopted.observe_store_revision(snapshot.revision):
+            log.warning("watches missed a change or the store became older; reading all")
+            await self._load_all()
+            return
+        self._checked_revision = snapshot.revision
+        self._reachable = True
+
+    def _is_newer(self, entry: Entry) -> bool:
+        subject = entry.key.removeprefix(ACCEPTED_PREFIX)
+        return entry.mod_revision > self._accepted_revisions.get(subject, 0)
+
+    async def _load_all(self) -> None:
+        self._close_watches()
+        snapshots: dict[str, Snapshot] = {}
+        for prefix in (ACCEPTED_PREFIX, *WRITTEN_PREFIXES):
+            result = await self._store.read_prefix(prefix, deadline=self._deadline())
+            if result.is_error():
+                self._reachable = False
+                return
+            snapshots[prefix] = result.ok
+        self._reachable = True
+        self._checked_revision = snapshots[ACCEPTED_PREFIX].revision
+        self._adopted.observe_store_revision(self._checked_revision)
+        self._take_accepted(snapshots[ACCEPTED_PREFIX])
+        self._take_written([snapshots[prefix] for prefix in WRITTEN_PREFIXES])
+        self._open_watches(snapshots)
+
+    def _take_accepted(self, snapshot: Snapshot) -> None:
+        self._accepted_revisions = {}
+        changed = False
+        for entry in snapshot.entries:
+            changed |= self._take_accepted_value(entry.key, entry.value, entry.mod_revision)
+        if changed:
+            self._publish()
+        self._confirm_regression()
+
+    def _take_accepted_value(self, key: str, value: bytes, revision: int) -> bool:
+        subject = key.removeprefix(ACCEPTED_PREFIX)
+        self._accepted_revisions[subject] = revision
+        result = decode_record(value, Subtree)
+        if result.is_error():
+            log.error("accepted record {} cannot be read: {}", key, result.error)
+            return False
+        return self._adopt(replace(result.ok, subject=subject, revision=revision))
+
+    def _take_written(self, snapshots: list[Snapshot]) -> None:
+        before = set(self._written)
+        self._written.clear()
+        for snapshot in snapshots:
+            for entry in snapshot.entries:
+                self._note_written(entry.key, entry.value, entry.mod_revision)
+        for subject in before | set(self._written):
+            self._schedule_accept(subject)
+
+    def _note_written(self, key: str, value: bytes | None, revision: int) -> str:
+        subject, path = split_key(key)
+        if value is None:
+            self._written[subject].pop(path, None)
+        else:
+            self._written[subject][path] = (value.decode(errors="replace"), revision)
+        return subject
+
+    def _open_watches(self, snapshots: dict[str, Snapshot]) -> None:
+        for prefix, snapshot in snapshots.items():
+            receive = self._receive_accepted if prefix == ACCEPTED_PREFIX else self._receive_written
+            self._watches.append(
+                self._store.watch(
+                    prefix, after=snapshot.revision, receive=receive, end=self._end_watches
+                )
+            )
+
+    def _close_watches(self) -> None:
+        for watch in self._watches:
+            watch.stop()
+        self._watches = []
+
+    def _end_watches(self) -> None:
+        self._close_watches()
+
+    def _receive_accepted(self, revision: int, changes: list[Change]) -> None:
+        del revision
+        changed = False
+        for change in changes:
+            if change.value is not None:
+                changed |= self._take_accepted_value(change.key, change.value, change.mod_revision)
+        if changed:
+            self._publish()
+
+    def _receive_written(self, revision: int, changes: list[Change]) -> None:
+        del revision
+        for change in changes:
+            self._schedule_accept(self._note_written(change.key, change.value, change.mod_revision))
+
+    def _schedule_accept(self, subject: str) -> None:
+        if subject in self._accepting:
+            return
+        self._accepting.add(subject)
+        self._reactor.callLater(
+            self._accept_delay_s, lambda: start_coroutine(self._accept(subject))
+        )
+
+    async def _accept(self, subject: str) -> None:
+        """Judge what was written and record it as accepted, unless another node did."""
+        self._accepting.discard(subject)
+        documents = self.written_documents(subject)
+        current = self._adopted.get(subject)
+        if current is not None and dict(current.documents) == documents:
+            self._rejected.pop(subject, None)
+            return
+        if current is None and not documents:
+            return
+        errors = judge_subtree(subject, documents)
+        if errors:
+            self._rejected[subject] = tuple(errors)
+            log.warning("settings of {} rejected: {}", subject, "; ".join(map(str, errors)))
+            return
+        self._rejected.pop(subject, None)
+        generation = current.generation if current is not None else 0
+        await self._write_accepted(subject, documents, generation=generation)
+
+    async def _write_accepted(
+        self, subject: str, documents: dict[str, str], *, generation: int
+    ) -> None:
+        subtree = Subtree(
+            subject=subject,
+            generation=generation,
+            documents=documents,
+            accepted_at=self._reactor.seconds(),
+        )
+        result = await self._store.commit(
+            Commit(
+                expected={
+                    accepted_key(subject): self._accepted_revisions.get(subject, ABSENT),
+                    **{
+                        f"{subject}/{path}": revision
+                        for path, revision in self.written_revisions(subject).items()
+                    },
+                },
+                puts=[Put(key=accepted_key(subject), value=encode_record(subtree))],
+            ),
+            deadline=self._deadline(),
+        )
+        if result.is_ok():
+            self._accepted_revisions[subject] = result.ok
+            self._receive_offer(SubtreesOffered(subtrees=(replace(subtree, revision=result.ok),)))
+            return
+        log.info("accepting {} was left to another try: {}", subject, result.error)
+        self._checked_revision = 0
+
+    def _confirm_regression(self) -> None:
+        """Write adopted versions back to a store that was restored to older ones."""
+        for subtree in self._adopted.subtrees:
+            if self._accepted_revisions.get(subtree.subject, ABSENT) >= subtree.revision:
+                self._older_seen.pop(subtree.subject, None)
+                continue
+            self._older_seen[subtree.subject] += 1
+            if self._older_seen[subtree.subject] >= REGRESSION_CONFIRMATIONS:
+                start_coroutine(self._write_back(subtree))
+        if self._older_seen:
+            self._reactor.callLater(CHECK_INTERVAL_S, self._end_watches)
+
+    async def _write_back(self, subtree: Subtree) -> None:
+        """Put an adopted version back as a new generation; operators' newer writes win later."""
+        log.error("the store holds an older version of {}; writing it back", subtree.subject)
+        subject = subtree.subject
+        renewed = replace(subtree, generation=subtree.generation + 1)
+        stored = self.written_revisions(subject)
+        result = await self._store.commit(
+            Commit(
+                expected={
+                    accepted_key(subject): self._accepted_revisions.get(subject, ABSENT),
+                    **{f"{subject}/{path}": revision for path, revision in stored.items()},
+                },
+                puts=[
+                    Put(key=accepted_key(subject), value=encode_record(renewed)),
+                    *(
+                        Put(key=f"{subject}/{path}", value=text.encode())
+                        for path, text in subtree.documents.items()
+                    ),
+                ],
+                deletes=[f"{subject}/{path}" for path in stored if path not in subtree.documents],
+            ),
+            deadline=self._deadline(),
+        )
+        if result.is_ok():
+            self._older_seen.pop(subject, None)
+            self._accepted_revisions[subject] = result.ok
+            self._receive_offer(SubtreesOffered(subtrees=(replace(renewed, revision=result.ok),)))
+
+    def _deadline(self) -> float:
+        return self._reactor.seconds() + CALL_TIMEOUT_S
+
+
+def accepted_key(subject: str) -> str:
+    """Return the store key of a subject's accepted version."""
+    return f"{ACCEPTED_PREFIX}{subject}"
+
+
+def split_key(key: str) -> tuple[str, str]:
+    """Return the subject and the path below it of a written document's key."""
+    if key.startswith(f"{DEPLOYMENT_SUBJECT}/"):
+        return DEPLOYMENT_SUBJECT, key.removeprefix(f"{DEPLOYMENT_SUBJECT}/")
+    team_end = key.find("/", len("teams/"))
+    if team_end < 0:
+        return key, ""
+    return key[:team_end], key[team_end + 1 :]
--- /dev/null
+++ b/stand_ins/vm_list.py
@@ -0,0 +1,51 @@
+"""Stand-in for the platform's VM list; changes show after a lag."""
+
+from __future__ import annotations
+
+import json
+import sys
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+from stand_ins.http import path_of
+from stand_ins.http import read_json
+from stand_ins.http import serve
+from stand_ins.reactor import reactor
+
+if TYPE_CHECKING:
+    from twisted.web.server import Request
+
+
+class VmListServer:
+    """Serves the list read from a file; ``POST /control`` changes entries after ``lag_s``."""
+
+    def __init__(self, *, vms: list[dict[str, Any]]) -> None:
+        self._vms = {vm["vm"]: vm for vm in vms}
+
+    def handle(self, request: Request) -> Any:
+        """Answer the list or take a change."""
+        if path_of(request) != "/control":
+            return list(self._vms.values())
+        query = read_json(request)
+        reactor.callLater(query.get("lag_s", 0), self._apply, query)
+        return {}
+
+    def _apply(self, query: dict[str, Any]) -> None:
+        for vm in query.get("put", []):
+            self._vms[vm["vm"]] = vm
+        for name in query.get("remove", []):
+            self._vms.pop(name, None)
+        for name in query.get("leaving", []):
+            self._vms[name] = {**self._vms[name], "leaving": True}
+
+
+def main() -> None:
+    """Serve on a port the list in a JSON file: ``vm_list PORT FILE``."""
+    vms = json.loads(Path(sys.argv[2]).read_text(encoding="utf-8"))
+    serve(VmListServer(vms=vms).handle, int(sys.argv[1]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/environment.py
@@ -0,0 +1,68 @@
+"""Hooks of the test run: known red scenarios, counts, and the local deployment."""
+
+from __future__ import annotations
+
+import os
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+from hypothesis import HealthCheck
+from hypothesis import settings
+
+if TYPE_CHECKING:
+    from behave.model import Scenario
+    from behave.runner import Context
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
+COUNTS_FILE = ROOT / ".test-counts"
+
+settings.register_profile(
+    "derandomized",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+settings.load_profile("derandomized")
+
+
+def read_known_red() -> set[str]:
+    """Return the names of the scenarios listed as known to fail."""
+    prefix = "scenario: "
+    lines = KNOWN_RED_FILE.read_text(encoding="utf-8").splitlines()
+    return {line.removeprefix(prefix).strip() for line in lines if line.startswith(prefix)}
+
+
+def before_all(context: Context) -> None:
+    """Prepare the counts."""
+    context.known_red = read_known_red()
+    context.counts = {"passed": 0, "failed": 0, "skipped": 0}
+
+
+def before_scenario(context: Context, scenario: Scenario) -> None:
+    """Pass over a scenario that is known to be red, and say so."""
+    if scenario.name in context.known_red and not os.environ.get("RUN_KNOWN_RED"):
+        print(f"KNOWN RED, passed over: {scenario.name}")
+        scenario.skip("known red")
+
+
+def after_scenario(context: Context, scenario: Scenario) -> None:
+    """Count the scenario and stop what it started."""
+    for cleanup in reversed(getattr(context, "cleanups", [])):
+        cleanup()
+    context.cleanups = []
+    status = scenario.status.name
+    key = status if status in context.counts else "failed"
+    context.counts[key] += 1
+
+
+def after_all(context: Context) -> None:
+    """Write the counts for the closing line of the test command."""
+    counts: dict[str, Any] = context.counts
+    line = f"{counts['passed']} passed, {counts['failed']} failed"
+    if counts["skipped"]:
+        line += f", {counts['skipped']} skipped"
+    COUNTS_FILE.write_text(line + "\n", encoding="utf-8")
