Prove settings, leaving, shutdown and outages under failure

Cause: three faults in settings and one in shutdown, each found by its new proof. - A watch that silently ended was noticed only for accepted versions, not for operators' writes. - After a restore of the store to something older, the older documents were taken for a change by an operator and accepted as a new version: the settings reverted. - An operator's write after such a restore would have been lost by the write-back. - An entry that stopped closed its port while connections waited in the kernel: callers met resets.

Ruled out: comparing what is written with what is in force here (that is what took the restored documents for new ones); one check of the store's revision alone (other keys move it too).

Change: the check beside the watches compares revisions and counts of all settings keys; a write is a proposal only against the accepted version in the same store; a write-back merges what was written since; the port closes after the last waiting connection is taken, and requests on open connections are answered until they are quiet; answers of a leaving entry carry Connection: close.

A cut between zones on the data path is not proved: the local deployment has one address for each engine.

--- a/local/deployment.py
+++ b/local/deployment.py
@@ -42,7 +42,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class DeploymentSpec:
-    """What a local deployment consists of; each VM uses ten ports from ``first_port``."""
+    """What a local deployment consists of; each VM uses ten ports from ``first_port``.
+
+    In a linked deployment each VM reaches the platform and its peers over a link that can be cut.
+    """
 
     entry_zones: tuple[str, ...] = ("east", "west")
     engines: tuple[EngineSpec, ...] = (
@@ -56,6 +59,7 @@
     load_s: float = 0.3
     lease_ttl_s: int = 4
     order_arrival_limit_ms: int = 4000
+    linked: bool = False
 
 
 def default_documents(spec: DeploymentSpec) -> dict[str, Any]:
@@ -128,6 +132,14 @@
         """Return the port of the plain service stand-in."""
         return self.stand_in_port(3)
 
+    def link_port(self, vm: int, offset: int) -> int:
+        """Return a port of a VM's link: 0 controls it, 1 the store, 2 the VM list, 3 peers."""
+        return self.stand_in_port(40 + vm * 4 + offset)
+
+    def set_cut(self, vm: int, cut: bool) -> None:
+        """Cut a VM off from the platform and from its peers, or mend it."""
+        call_json("POST", self.link_port(vm, 0), "/control", {"cut": cut})
+
     def engine_port(self, number: int) -> int:
         """Return the port of an engine by its place in the specification."""
         return self.stand_in_port(10 + number)
@@ -157,9 +169,22 @@
         self._start_stand_in("service", self.service_port)
         for number in range(len(spec.engines)):
             self.start_engine(number)
-        for port in (self.store_port, self.vm_list_port, self.weight_port):
+        ports = [self.store_port, self.vm_list_port, self.weight_port]
+        if spec.linked:
+            ports += [self._start_link(number) for number in range(len(spec.entry_zones))]
+        for port in ports:
             self._wait_for_port(port)
 
+    def _start_link(self, number: int) -> int:
+        targets = (self.store_port, self.vm_list_port, self.port(number, 2))
+        pairs = [
+            f"{self.link_port(number, offset)}:{target}"
+            for offset, target in enumerate(targets, start=1)
+        ]
+        control = self.link_port(number, 0)
+        self._start(f"link-{number}", "-m", "stand_ins.link", str(control), *pairs)
+        return control
+
     def start_engine(self, number: int) -> None:
         """Start one engine stand-in."""
         engine = self.spec.engines[number]
@@ -246,12 +271,15 @@
             )
 
     def _write_process_settings(self, number: int) -> Path:
+        linked = self.spec.linked
+        store_port = self.link_port(number, 1) if linked else self.store_port
+        vm_list_port = self.link_port(number, 2) if linked else self.vm_list_port
         settings = {
             "vm": f"entry-{number}",
             "availability_zone": self.spec.entry_zones[number],
             "address": "127.0.0.1",
-            "store_urls": [f"http://127.0.0.1:{self.store_port}"],
-            "vm_list_url": f"http://127.0.0.1:{self.vm_list_port}/v1/vms",
+            "store_urls": [f"http://127.0.0.1:{store_port}"],
+            "vm_list_url": f"http://127.0.0.1:{vm_list_port}/v1/vms",
             "lease_ttl_s": self.spec.lease_ttl_s,
             "clock_error_ms": 100,
         }
@@ -262,7 +290,7 @@
 
     def _list_vms(self) -> list[dict[str, Any]]:
         vms = [
-            _vm(f"entry-{number}", "entry", "entry", self.port(number, 2), zone)
+            _vm(f"entry-{number}", "entry", "entry", self._peer_port(number), zone)
             for number, zone in enumerate(self.spec.entry_zones)
         ]
         for number, engine in enumerate(self.spec.engines):
@@ -273,6 +301,9 @@
         vms.append(_vm("registry-1", "service", "registry", self.service_port, zone))
         return vms
 
+    def _peer_port(self, number: int) -> int:
+        return self.link_port(number, 3) if self.spec.linked else self.port(number, 2)
+
     def _wait_for_port(self, port: int) -> None:
         self._wait_until(lambda: answers(port), f"port {port} does not answer")
 
--- a/src/cactusshunt/edges/store.py
+++ b/src/cactusshunt/edges/store.py
@@ -51,10 +51,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Snapshot:
-    """Entries of a prefix at one revision of the store."""
+    """Entries of a prefix at one revision of the store.
+
+    ``count`` is the number of all keys below the prefix, also of those left out as unchanged.
+    """
 
     revision: int
     entries: tuple[Entry, ...]
+    count: int
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -145,6 +149,7 @@
         entries: list[Entry] = []
         start = encode_text(prefix)
         revision = 0
+        count = 0
         while True:
             query: dict[str, Any] = {
                 "key": start,
@@ -159,11 +164,13 @@
             if result.is_error():
                 return Error(result.error)
             answer = result.ok
-            revision = revision or int(answer["header"]["revision"])
+            if not revision:
+                revision = int(answer["header"]["revision"])
+                count = int(answer.get("count", 0))
             page = [_entry(found) for found in answer.get("kvs", [])]
             entries.extend(page)
             if not answer.get("more") or not page:
-                return Ok(Snapshot(revision=revision, entries=tuple(entries)))
+                return Ok(Snapshot(revision=revision, entries=tuple(entries), count=count))
             start = encode_text(page[-1].key + "\0")
 
     async def read_key(self, key: str, *, deadline: float) -> Result[Snapshot, StoreError]:
@@ -172,7 +179,8 @@
         if result.is_error():
             return Error(result.error)
         entries = tuple(_entry(found) for found in result.ok.get("kvs", []))
-        return Ok(Snapshot(revision=int(result.ok["header"]["revision"]), entries=entries))
+        revision = int(result.ok["header"]["revision"])
+        return Ok(Snapshot(revision=revision, entries=entries, count=len(entries)))
 
     async def commit(self, commit: Commit, *, deadline: float) -> Result[int, StoreError]:
         """Write a transaction and return its revision."""
--- a/src/cactusshunt/tasks/entry/caller_api.py
+++ b/src/cactusshunt/tasks/entry/caller_api.py
@@ -82,6 +82,7 @@
         self._metrics = metrics
         self.phase = Phase.STARTING
         self.in_flight = 0
+        self.served = 0
         self.answered: dict[str, int] = {}
         self._simple: dict[str, Callable[[Request], bytes]] = {
             "/healthz": lambda request: b"ok\n",
@@ -113,6 +114,8 @@
         now = self._reactor.seconds()
         caller = CallerRequest(request=request, now=now)
         self.in_flight += 1
+        if self.phase is not Phase.SERVING:
+            request.setHeader("Connection", "close")
         try:
             result = await self._run(caller, path)
         except Exception:
@@ -120,6 +123,7 @@
             result = Error(problems.internal_error())
         finally:
             self.in_flight -= 1
+            self.served += 1
         if result.is_error():
             problem = result.error
             self._count(problem.kind)
@@ -137,7 +141,6 @@
         """Return whether the answer was whole, or the problem to answer with."""
         now = self._reactor.seconds()
         if self.phase not in ACCEPTING_PHASES:
-            caller.request.setHeader("Connection", "close")
             return Error(
                 problems.not_ready(now) if self.phase is Phase.STARTING else problems.draining(now)
             )
--- a/src/cactusshunt/tasks/entry/entry_process.py
+++ b/src/cactusshunt/tasks/entry/entry_process.py
@@ -42,6 +42,7 @@
 LISTEN_BACKLOG = 1024
 READINESS_LAG_S = 2.0  # time in which the balancer notices that this entry is leaving
 DRAIN_CHECK_S = 0.1
+QUIET_S = 0.5  # time without a request after which open connections are given up
 
 
 class EntryProcess:
@@ -77,6 +78,7 @@
         self._store = EtcdStore(
             reactor=reactor, client=HttpClient(reactor=reactor), urls=settings.store_urls
         )
+        self._port: Any = None
         self._claims = OnceClaims(reactor=reactor, store=self._store)
         self._api = CallerApi(
             reactor=reactor,
@@ -98,13 +100,19 @@
         """Listen to callers and follow the control process."""
         settings = self._settings
         listen = self._reactor.listenTCP  # type: ignore[attr-defined]
-        listen(settings.caller_port, self._site, backlog=LISTEN_BACKLOG, interface=settings.address)
+        self._port = listen(
+            settings.caller_port, self._site, backlog=LISTEN_BACKLOG, interface=settings.address
+        )
         listen(settings.entry_dump_port, Site(_DumpResource(dump=self.dump)), interface="127.0.0.1")
         self._link.start()
         log.info("entry process of {} started", settings.vm)
 
     async def stop(self) -> None:
-        """Turn readiness off, then refuse new requests, then wait for those in flight."""
+        """Turn readiness off, then refuse new requests, then wait for those in flight.
+
+        Connections that the kernel holds are taken before the port closes, and requests on open
+        connections are answered until the end, so that no caller meets a reset.
+        """
         self._api.phase = Phase.LEAVING
         await self._sleep(READINESS_LAG_S)
         self._api.phase = Phase.REFUSING
@@ -113,9 +121,22 @@
             await self._sleep(DRAIN_CHECK_S)
         if self._api.in_flight:
             log.error("{} requests were still in flight", self._api.in_flight)
-        await self._sleep(DRAIN_CHECK_S)
+        await self._close_port()
         self._link.stop()
 
+    async def _close_port(self) -> None:
+        """Stop listening, then answer what still comes over open connections."""
+        if self._port is None:
+            return
+        self._port.doRead()
+        await self._port.stopListening()
+        quiet_since = self._reactor.seconds()
+        seen = self._api.served
+        while self._reactor.seconds() < quiet_since + QUIET_S:
+            await self._sleep(DRAIN_CHECK_S)
+            if self._api.served != seen or self._api.in_flight:
+                seen, quiet_since = self._api.served, self._reactor.seconds()
+
     def dump(self) -> dict[str, Any]:
         """Return the state of every task; no secrets, no prompts."""
         now = self._reactor.seconds()
--- a/src/cactusshunt/tasks/settings_task.py
+++ b/src/cactusshunt/tasks/settings_task.py
@@ -16,6 +16,7 @@
 
 from cactusshunt.decisions.adoption import AdoptedSettings
 from cactusshunt.decisions.adoption import Verdict
+from cactusshunt.decisions.adoption import version_of
 from cactusshunt.decisions.catalogue import DEPLOYMENT_SUBJECT
 from cactusshunt.decisions.catalogue import Catalogue
 from cactusshunt.decisions.catalogue import build_catalogue
@@ -36,7 +37,6 @@
     from twisted.internet.base import ReactorBase
 
     from cactusshunt.edges.store import Change
-    from cactusshunt.edges.store import Entry
     from cactusshunt.edges.store import Snapshot
     from cactusshunt.edges.store import Store
     from cactusshunt.edges.store_watch import StoreWatch
@@ -50,6 +50,7 @@
 CALL_TIMEOUT_S = 2.0
 CHECK_INTERVAL_S = 3.0  # longest time for which a silently ended watch goes unnoticed
 ACCEPT_DELAY_S = 0.15  # lets an operator's writes of several keys arrive together
+REGRESSION_RETRY_S = 1.0
 REGRESSION_CONFIRMATIONS = 2  # checks in a row before an older store is taken as restored
 
 
@@ -66,7 +67,7 @@
         self._adopted = AdoptedSettings()
         self._catalogue = Catalogue()
         self._written: dict[str, dict[str, tuple[str, int]]] = defaultdict(dict)
-        self._accepted_revisions: dict[str, int] = {}
+        self._stored: dict[str, Subtree] = {}
         self._rejected: dict[str, tuple[SettingsError, ...]] = {}
         self._accepting: set[str] = set()
         self._older_seen: dict[str, int] = defaultdict(int)
@@ -115,10 +116,6 @@
             "watching": len(self._watches),
         }
 
-    def written_revisions(self, subject: str) -> dict[str, int]:
-        """Return the modification revision of each written document."""
-        return {path: found[1] for path, found in self._written.get(subject, {}).items()}
-
     def written_documents(self, subject: str) -> dict[str, str]:
         """Return the written documents of a subject, accepted or not."""
         return {path: found[0] for path, found in self._written.get(subject, {}).items()}
@@ -157,24 +154,37 @@
         if not self._watches:
             await self._load_all()
             return
-        result = await self._store.read_prefix(
-            ACCEPTED_PREFIX, deadline=self._deadline(), changed_after=self._checked_revision
-        )
-        if result.is_error():
-            self._reachable = False
-            return
-        snapshot: Snapshot = result.ok
-        missed = any(self._is_newer(entry) for entry in snapshot.entries)
-        if missed or not self._adopted.observe_store_revision(snapshot.revision):
-            log.warning("watches missed a change or the store became older; reading all")
-            await self._load_all()
-            return
-        self._checked_revision = snapshot.revision
+        for prefix in (ACCEPTED_PREFIX, *WRITTEN_PREFIXES):
+            result = await self._store.read_prefix(
+                prefix, deadline=self._deadline(), changed_after=self._checked_revision
+            )
+            if result.is_error():
+                self._reachable = False
+                return
+            if self._has_missed(prefix, result.ok):
+                log.warning("the watches missed a change, or the store became older")
+                await self._load_all()
+                return
+            if prefix == WRITTEN_PREFIXES[-1]:
+                self._checked_revision = result.ok.revision
         self._reachable = True
 
-    def _is_newer(self, entry: Entry) -> bool:
-        subject = entry.key.removeprefix(ACCEPTED_PREFIX)
-        return entry.mod_revision > self._accepted_revisions.get(subject, 0)
+    def _has_missed(self, prefix: str, snapshot: Snapshot) -> bool:
+        """Tell whether the store holds something that the watches did not report."""
+        known = self._known_revisions(prefix)
+        changed = any(known.get(entry.key) != entry.mod_revision for entry in snapshot.entries)
+        fewer = snapshot.count != len(known)
+        return changed or fewer or not self._adopted.observe_store_revision(snapshot.revision)
+
+    def _known_revisions(self, prefix: str) -> dict[str, int]:
+        if prefix == ACCEPTED_PREFIX:
+            return {accepted_key(name): found.revision for name, found in self._stored.items()}
+        return {
+            f"{subject}/{path}": revision
+            for subject, documents in self._written.items()
+            if f"{subject}/".startswith(prefix)
+            for path, (_, revision) in documents.items()
+        }
 
     async def _load_all(self) -> None:
         self._close_watches()
@@ -190,25 +200,28 @@
         self._adopted.observe_store_revision(self._checked_revision)
         self._take_accepted(snapshots[ACCEPTED_PREFIX])
         self._take_written([snapshots[prefix] for prefix in WRITTEN_PREFIXES])
+        self._confirm_regression()
         self._open_watches(snapshots)
 
     def _take_accepted(self, snapshot: Snapshot) -> None:
-        self._accepted_revisions = {}
+        self._stored = {}
         changed = False
         for entry in snapshot.entries:
             changed |= self._take_accepted_value(entry.key, entry.value, entry.mod_revision)
         if changed:
             self._publish()
-        self._confirm_regression()
 
     def _take_accepted_value(self, key: str, value: bytes, revision: int) -> bool:
         subject = key.removeprefix(ACCEPTED_PREFIX)
-        self._accepted_revisions[subject] = revision
         result = decode_record(value, Subtree)
         if result.is_error():
             log.error("accepted record {} cannot be read: {}", key, result.error)
+            self._stored[subject] = Subtree(
+                subject=subject, generation=-1, revision=revision, documents={}
+            )
             return False
-        return self._adopt(replace(result.ok, subject=subject, revision=revision))
+        self._stored[subject] = replace(result.ok, subject=subject, revision=revision)
+        return self._adopt(self._stored[subject])
 
     def _take_written(self, snapshots: list[Snapshot]) -> None:
         before = set(self._written)
@@ -232,7 +245,7 @@
             receive = self._receive_accepted if prefix == ACCEPTED_PREFIX else self._receive_written
             self._watches.append(
                 self._store.watch(
-                    prefix, after=snapshot.revision, receive=receive, end=self._end_watches
+                    prefix, after=snapshot.revision, receive=receive, end=self._close_watches
                 )
             )
 
@@ -241,9 +254,6 @@
             watch.stop()
         self._watches = []
 
-    def _end_watches(self) -> None:
-        self._close_watches()
-
     def _receive_accepted(self, revision: int, changes: list[Change]) -> None:
         del revision
         changed = False
@@ -270,11 +280,11 @@
         """Judge what was written and record it as accepted, unless another node did."""
         self._accepting.discard(subject)
         documents = self.written_documents(subject)
-        current = self._adopted.get(subject)
-        if current is not None and dict(current.documents) == documents:
+        stored = self._stored.get(subject)
+        if stored is not None and dict(stored.documents) == documents:
             self._rejected.pop(subject, None)
             return
-        if current is None and not documents:
+        if self._is_regressed(subject) or (stored is None and not documents):
             return
         errors = judge_subtree(subject, documents)
         if errors:
@@ -282,77 +292,84 @@
             log.warning("settings of {} rejected: {}", subject, "; ".join(map(str, errors)))
             return
         self._rejected.pop(subject, None)
-        generation = current.generation if current is not None else 0
-        await self._write_accepted(subject, documents, generation=generation)
+        subtree = self._make_subtree(subject, documents, stored.generation if stored else 0)
+        await self._commit(subtree, documents)
 
-    async def _write_accepted(
-        self, subject: str, documents: dict[str, str], *, generation: int
-    ) -> None:
-        subtree = Subtree(
+    def _make_subtree(self, subject: str, documents: dict[str, str], generation: int) -> Subtree:
+        return Subtree(
             subject=subject,
             generation=generation,
             documents=documents,
             accepted_at=self._reactor.seconds(),
         )
+
+    async def _commit(self, subtree: Subtree, written: dict[str, str]) -> None:
+        """Store an accepted version, if nothing changed since it was judged.
+
+        ``written`` is what the subject's own documents are to be; those that differ are written
+        in the same transaction.
+        """
+        subject = subtree.subject
+        before = self._written.get(subject, {})
+        stored = self._stored.get(subject)
+        puts = [Put(key=accepted_key(subject), value=encode_record(subtree))]
+        for path, text in written.items():
+            if path not in before or before[path][0] != text:
+                puts.append(Put(key=f"{subject}/{path}", value=text.encode()))
         result = await self._store.commit(
             Commit(
                 expected={
-                    accepted_key(subject): self._accepted_revisions.get(subject, ABSENT),
-                    **{
-                        f"{subject}/{path}": revision
-                        for path, revision in self.written_revisions(subject).items()
-                    },
+                    accepted_key(subject): stored.revision if stored is not None else ABSENT,
+                    **{f"{subject}/{path}": found[1] for path, found in before.items()},
                 },
-                puts=[Put(key=accepted_key(subject), value=encode_record(subtree))],
+                puts=puts,
+                deletes=[f"{subject}/{path}" for path in before if path not in written],
             ),
             deadline=self._deadline(),
         )
-        if result.is_ok():
-            self._accepted_revisions[subject] = result.ok
-            self._receive_offer(SubtreesOffered(subtrees=(replace(subtree, revision=result.ok),)))
+        if result.is_error():
+            log.info("accepting {} was left to another try: {}", subject, result.error)
+            self._close_watches()
             return
-        log.info("accepting {} was left to another try: {}", subject, result.error)
-        self._checked_revision = 0
+        accepted = replace(subtree, revision=result.ok)
+        self._stored[subject] = accepted
+        self._older_seen.pop(subject, None)
+        self._receive_offer(SubtreesOffered(subtrees=(accepted,)))
+
+    def _is_regressed(self, subject: str) -> bool:
+        """Tell whether the store holds an older version than the one in force here."""
+        adopted = self._adopted.get(subject)
+        if adopted is None:
+            return False
+        stored = self._stored.get(subject)
+        return stored is None or version_of(stored) < version_of(adopted)
 
     def _confirm_regression(self) -> None:
-        """Write adopted versions back to a store that was restored to older ones."""
+        """Write adopted versions back to a store that was restored to older ones.
+
+        One older reading may be a read that was overtaken by a write; several in a row are not.
+        """
         for subtree in self._adopted.subtrees:
-            if self._accepted_revisions.get(subtree.subject, ABSENT) >= subtree.revision:
-                self._older_seen.pop(subtree.subject, None)
+            subject = subtree.subject
+            if not self._is_regressed(subject):
+                self._older_seen.pop(subject, None)
                 continue
-            self._older_seen[subtree.subject] += 1
-            if self._older_seen[subtree.subject] >= REGRESSION_CONFIRMATIONS:
+            self._older_seen[subject] += 1
+            if self._older_seen[subject] >= REGRESSION_CONFIRMATIONS:
                 start_coroutine(self._write_back(subtree))
         if self._older_seen:
-            self._reactor.callLater(CHECK_INTERVAL_S, self._end_watches)
-
-    async def _write_back(self, subtree: Subtree) -> None:
-        """Put an adopted version back as a new generation; operators' newer writes win later."""
-        log.error("the store holds an older version of {}; writing it back", subtree.subject)
-        subject = subtree.subject
-        renewed = replace(subtree, generation=subtree.generation + 1)
-        stored = self.written_revisions(subject)
-        result = await self._store.commit(
-            Commit(
-                expected={
-                    accepted_key(subject): self._accepted_revisions.get(subject, ABSENT),
-                    **{f"{subject}/{path}": revision for path, revision in stored.items()},
-                },
-                puts=[
-                    Put(key=accepted_key(subject), value=encode_record(renewed)),
-                    *(
-                        Put(key=f"{subject}/{path}", value=text.encode())
-                        for path, text in subtree.documents.items()
-                    ),
-                ],
-                deletes=[f"{subject}/{path}" for path in stored if path not in subtree.documents],
-            ),
-            deadline=self._deadline(),
-        )
-        if result.is_ok():
-            self._older_seen.pop(subject, None)
-            self._accepted_revisions[subject] = result.ok
-            self._receive_offer(SubtreesOffered(subtrees=(replace(renewed, revision=result.ok),)))
+            self._reactor.callLater(REGRESSION_RETRY_S, self._close_watches)
+
+    async def _write_back(self, adopted: Subtree) -> None:
+        """Put an adopted version back as a new generation, with what was written since."""
+        subject = adopted.subject
+        log.error("the store holds an older version of {}; writing it back", subject)
+        stored = self._stored.get(subject)
+        older = dict(stored.documents) if stored is not None else {}
+        merged = merge_documents(older, self.written_documents(subject), dict(adopted.documents))
+        valid = not judge_subtree(subject, merged)
+        documents = merged if valid else dict(adopted.documents)
+        await self._commit(self._make_subtree(subject, documents, adopted.generation + 1), merged)
 
     def _deadline(self) -> float:
         return self._reactor.seconds() + CALL_TIMEOUT_S
@@ -363,6 +380,21 @@
     return f"{ACCEPTED_PREFIX}{subject}"
 
 
+def merge_documents(
+    older: dict[str, str], written: dict[str, str], newer: dict[str, str]
+) -> dict[str, str]:
+    """Return ``newer`` with the changes that lead from ``older`` to ``written``."""
+    merged = dict(newer)
+    for path in older.keys() | written.keys():
+        if older.get(path) == written.get(path):
+            continue
+        if path in written:
+            merged[path] = written[path]
+        else:
+            merged.pop(path, None)
+    return merged
+
+
 def split_key(key: str) -> tuple[str, str]:
     """Return the subject and the path below it of a written document's key."""
     if key.startswith(f"{DEPLOYMENT_SUBJECT}/"):
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -44,6 +44,7 @@
         self._agent = Agent(reactor)
         self._incarnation = uuid.uuid4().hex
         self._draining = False
+        self._says_draining = False
         self._channels: set[int] = set()
         self._silent_channels: set[int] = set()
         self._order_faults = {"lose_orders": 0, "delay_orders_ms": 0, "double_orders": 0}
@@ -129,6 +130,8 @@
                 self._order_faults[name] = value
             elif name == "draining":
                 self._draining = value
+            elif name == "says_draining":
+                self._says_draining = value
             elif name == "silence_open":
                 self._silent_channels, self._channels = self._channels, set()
             elif name == "restart":
@@ -173,7 +176,7 @@
             "running": len(self.streams.running),
             "waiting": len(self.streams.waiting),
             "slots": self._slots,
-            "draining": self._draining,
+            "draining": self._draining or self._says_draining,
             "taken_at": reactor.seconds(),
         }
 
--- a/stand_ins/store_state.py
+++ b/stand_ins/store_state.py
@@ -49,16 +49,13 @@
         end = base64.b64decode(query.get("range_end", ""))
         after = int(query.get("min_mod_revision", 0))
         limit = int(query.get("limit", 0)) or len(self.keys) + 1
-        found = [
-            name
-            for name in sorted(self.keys)
-            if self._within(name, start, end) and self.keys[name].mod_revision >= after
-        ]
+        inside = [name for name in sorted(self.keys) if self._within(name, start, end)]
+        found = [name for name in inside if self.keys[name].mod_revision >= after]
         return {
             "header": self._header(),
             "kvs": [self._describe(name) for name in found[:limit]],
             "more": len(found) > limit,
-            "count": str(len(found)),
+            "count": str(len(inside)),
         }
 
     def transact(self, query: dict[str, Any]) -> dict[str, Any]:
--- /dev/null
+++ b/tests/steps/leaving_steps.py
@@ -0,0 +1,312 @@
+"""Steps on leaving upstreams, shutdown, dying processes and cut zones."""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+import time
+
+from functools import partial
+from typing import Any
+
+from answer_steps import Received
+from answer_steps import dumps_of_entries
+from answer_steps import is_exact
+from answer_steps import request_tokens
+from answer_steps import run_callers
+from answer_steps import settings_revisions
+from behave import given
+from behave import then
+from behave import when
+from deployment_steps import OWN_FIRST_PORT
+from deployment_steps import assert_problem
+from deployment_steps import chat_body
+from deployment_steps import engine_states
+from deployment_steps import send
+from deployment_steps import start_deployment
+from deployment_steps import wait_until
+
+from local.deployment import Deployment
+from local.deployment import DeploymentSpec
+from local.deployment import EngineSpec
+from local.deployment import call_json
+from local.deployment import holds_items
+from local.deployment import is_ready
+
+IN_FORCE_S = 11.0
+
+
+class ConstantCallers:
+    """Callers who ask for one stream after another until they are stopped."""
+
+    def __init__(self, *, deployment: Deployment, callers: int, tokens: int = 20) -> None:
+        self.received: list[Received] = []
+        self.errors: list[str] = []
+        self._deployment = deployment
+        self._tokens = tokens
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,)) for number in range(callers)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Let each caller finish its stream and end."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, number: int) -> None:
+        zones = len(self._deployment.spec.entry_zones)
+        count = 0
+        while not self._stopped.is_set():
+            count += 1
+            prompt = f"caller {number} stream {count}"
+            entry = number % zones
+            try:
+                self.received.append(
+                    request_tokens(self._deployment, entry, prompt, self._tokens, True)
+                )
+            except ConnectionRefusedError:
+                time.sleep(0.05)
+            except OSError as error:
+                self.errors.append(repr(error))
+
+
+def lease_holders(context: Any) -> dict[int, int]:
+    """Return the fence of each control process that says it holds its zone's lease."""
+    deployment = context.deployment
+    holders = {}
+    for number in range(len(deployment.spec.entry_zones)):
+        if f"control-{number}" in deployment.processes:
+            lease = call_json("GET", deployment.port(number, 1), "/dump")["lease"]
+            if lease["held"]:
+                holders[number] = lease["fence"]
+    return holders
+
+
+def change_grid(context: Any) -> None:
+    """Change team grid by a direct write."""
+    context.revisions = [dump["settings_in_force"]["teams/grid"] for dump in _dumps(context)]
+    document = {"version": "v1", "memory_mib": 800, "priority": 7}
+    context.deployment.write_documents({"teams/grid/models/defects": document})
+
+
+def _dumps(context: Any) -> list[dict[str, Any]]:
+    return dumps_of_entries(context)
+
+
+def busiest_engine(context: Any) -> int:
+    """Return the place of the engine that has executed the most requests."""
+    executed = [sum(state["executions"].values()) for state in engine_states(context.deployment)]
+    return executed.index(max(executed))
+
+
+def work_of(context: Any) -> int:
+    """Return how many requests the watched engine has executed."""
+    port = context.deployment.engine_port(context.leaving)
+    return sum(call_json("GET", port, "/control")["executions"].values())
+
+
+@given("callers who stream without pause through both entries")
+def step_constant_callers(context: Any) -> None:
+    context.callers = ConstantCallers(deployment=context.deployment, callers=4)
+    context.cleanups = [*context.cleanups, context.callers.stop]
+    time.sleep(1.0)
+
+
+@given("a local deployment with two VMs in one zone")
+def step_one_zone(context: Any) -> None:
+    engines = (EngineSpec(name="engine-1", availability_zone="east", checks_fence=False),)
+    spec = DeploymentSpec(first_port=OWN_FIRST_PORT, entry_zones=("east", "east"), engines=engines)
+    start_deployment(context, spec)
+
+
+@given("a local deployment whose VMs can be cut off")
+def step_linked(context: Any) -> None:
+    start_deployment(context, DeploymentSpec(first_port=OWN_FIRST_PORT, linked=True))
+
+
+@when("one of the engines that serve them says that it is leaving")
+def step_says_leaving(context: Any) -> None:
+    context.leaving = busiest_engine(context)
+    port = context.deployment.engine_port(context.leaving)
+    call_json("POST", port, "/control", {"says_draining": True})
+
+
+@when("the VM list says that one of the engines that serve them is leaving")
+def step_listed_leaving(context: Any) -> None:
+    context.leaving = busiest_engine(context)
+    name = context.deployment.spec.engines[context.leaving].name
+    call_json("POST", context.deployment.vm_list_port, "/control", {"leaving": [name]})
+
+
+@then("{seconds:d} seconds later it gets no new work")
+def step_no_new_work(context: Any, seconds: int) -> None:
+    time.sleep(seconds)
+    before = work_of(context)
+    time.sleep(2.0)
+    assert work_of(context) == before
+    assert before > 0
+
+
+@then("every stream was whole")
+def step_all_whole(context: Any) -> None:
+    context.callers.stop()
+    assert len(context.callers.received) > 20
+    for received in context.callers.received:
+        assert is_exact(received), received
+    assert not context.callers.errors, context.callers.errors
+
+
+@then("every stream was whole or refused as not run")
+def step_whole_or_refused(context: Any) -> None:
+    context.callers.stop()
+    for received in context.callers.received:
+        assert is_exact(received) or received.status == 503, received
+    assert not context.callers.errors, context.callers.errors
+    whole = [received for received in context.callers.received if is_exact(received)]
+    assert len(whole) > 20
+
+
+@when("entry {entry:d} is told to stop while {callers:d} callers stream {tokens:d} tokens")
+def step_stop_entry(context: Any, entry: int, callers: int, tokens: int) -> None:
+    def run() -> None:
+        context.received = run_callers(context, callers, tokens, stream=True)
+
+    context.running = threading.Thread(target=run)
+    context.running.start()
+    time.sleep(0.8)
+    context.process = context.deployment.processes[f"entry-{entry}"]
+    context.deployment.signal(f"entry-{entry}", signal.SIGTERM)
+
+
+@then("it turns its readiness off at once")
+def step_not_ready(context: Any) -> None:
+    time.sleep(0.2)
+    assert not is_ready(context.deployment.port(0, 0))
+
+
+@then("after {seconds:d} seconds it refuses new requests as not run")
+def step_refuses(context: Any, seconds: int) -> None:
+    time.sleep(seconds)
+    path = "/v1/chat/completions"
+    found = send(context.deployment, 0, "POST", path, body=chat_body("grid/defects"))
+    assert_problem(found, 503, "not_run")
+    assert int(found[1]["retry-after"]) >= 1
+    context.running.join()
+
+
+@then("entry {entry:d} ends by itself with status {status:d}")
+def step_ended(context: Any, entry: int, status: int) -> None:
+    assert context.process.wait(10) == status
+
+
+@when("each entry VM is stopped and started again, one after the other")
+def step_replace(context: Any) -> None:
+    deployment = context.deployment
+    for number in range(len(deployment.spec.entry_zones)):
+        for role in ("entry", "control"):
+            name = f"{role}-{number}"
+            process = deployment.processes[name]
+            deployment.signal(name, signal.SIGTERM)
+            assert process.wait(20) == 0
+        deployment.start_vm(number)
+        wait_until(partial(is_ready, deployment.port(number, 0)), 20.0, "entry not ready")
+
+
+@when("the control process of VM {number:d} is killed")
+def step_kill_control(context: Any, number: int) -> None:
+    context.deployment.kill(f"control-{number}")
+
+
+@when("{seconds:d} seconds pass")
+def step_pass(context: Any, seconds: int) -> None:
+    del context
+    time.sleep(seconds)
+
+
+@when('the store comes back and team "grid" is changed')
+def step_store_back(context: Any) -> None:
+    call_json("POST", context.deployment.store_port, "/control", {"down": False})
+    change_grid(context)
+
+
+@then("the change is in force at every entry within {seconds:d} seconds")
+def step_change_in_force(context: Any, seconds: int) -> None:
+    wait_until(
+        lambda: all(
+            dump["settings_in_force"]["teams/grid"] > before
+            for dump, before in zip(_dumps(context), context.revisions, strict=True)
+        ),
+        float(seconds),
+        "the change is not in force",
+    )
+
+
+@when("the control process that holds the lease is killed")
+def step_kill_holder(context: Any) -> None:
+    ((context.holder, context.fence),) = lease_holders(context).items()
+    context.deployment.kill(f"control-{context.holder}")
+
+
+@then("the other one holds it within {seconds:d} seconds, with a higher fence")
+def step_taken_over(context: Any, seconds: int) -> None:
+    wait_until(lambda: lease_holders(context), float(seconds), "nobody took over")
+    ((holder, fence),) = lease_holders(context).items()
+    assert holder != context.holder and fence > context.fence
+
+
+@when("the control process that holds the lease is frozen for {seconds:d} seconds")
+def step_freeze_holder(context: Any, seconds: int) -> None:
+    ((holder, _),) = lease_holders(context).items()
+    context.deployment.signal(f"control-{holder}", signal.SIGSTOP)
+    time.sleep(seconds)
+    context.deployment.signal(f"control-{holder}", signal.SIGCONT)
+    time.sleep(1.0)
+
+
+@then("exactly one of them holds the lease")
+def step_one_holder(context: Any) -> None:
+    wait_until(lambda: len(lease_holders(context)) == 1, 5.0, "not exactly one holder")
+
+
+@then("a new model becomes reachable")
+def step_new_model(context: Any) -> None:
+    deployment = context.deployment
+    document = {"version": "v1", "memory_mib": 300}
+    deployment.write_documents({"teams/grid/models/relays": json.dumps(document)})
+    ports = [
+        deployment.port(number, 3)
+        for number in range(len(deployment.spec.entry_zones))
+        if f"control-{number}" in deployment.processes
+    ]
+    wait_until(
+        lambda: all(holds_items(port, {"grid/relays@v1"}) for port in ports),
+        25.0,
+        "the new model is not reachable",
+    )
+
+
+@when('VM {number:d} is cut off for {seconds:d} seconds while team "grid" is changed')
+def step_cut(context: Any, number: int, seconds: int) -> None:
+    deployment = context.deployment
+    change_at = settings_revisions(context)
+    assert change_at
+    deployment.set_cut(number, True)
+    change_grid(context)
+    context.cut_answers = []
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        prompt = f"cut {time.monotonic()}"
+        context.cut_answers.append(request_tokens(deployment, number, prompt, 5, True))
+    deployment.set_cut(number, False)
+
+
+@then("callers of VM 0 were served all the time")
+def step_served(context: Any) -> None:
+    assert len(context.cut_answers) > 10
+    for received in context.cut_answers:
+        assert is_exact(received), received
