Plan placement over all zones in reach, and prove reach, routing and limits

Change: the split of capacity covers all engines in reach and the demand of all zones, which digests now carry; each zone carries out only its part. Admission and routing decide in one pure class that the entry process and the replay both drive.

--- a/src/cactusshunt/decisions/demand.py
+++ b/src/cactusshunt/decisions/demand.py
@@ -14,7 +14,7 @@
 
     from cactusshunt.schema.generated.messages import ModelDemand
 
-SERVICE_WEIGHT = 0.1  # weight of the newest mean in the estimated slot-seconds of a request
+SERVICE_MEMORY = 0.98  # part of the earlier requests' weight that each report leaves
 FORGOTTEN_RATE = 1e-4  # arrivals per second below which an item's estimate is dropped
 
 
@@ -24,7 +24,7 @@
     def __init__(self) -> None:
         self._arrivals: dict[str, int] = defaultdict(int)
         self._estimates: dict[str, DemandEstimate] = {}
-        self._service_s: dict[str, float] = {}
+        self._service: dict[str, tuple[float, float]] = {}
         self._updated_at: float | None = None
 
     def add(self, reports: Iterable[ModelDemand]) -> None:
@@ -32,9 +32,11 @@
         for report in reports:
             self._arrivals[report.item] += report.arrivals
             if report.finished:
-                mean = report.busy_s / report.finished
-                known = self._service_s.get(report.item, mean)
-                self._service_s[report.item] = known + (mean - known) * SERVICE_WEIGHT
+                finished, busy_s = self._service.get(report.item, (0.0, 0.0))
+                self._service[report.item] = (
+                    finished * SERVICE_MEMORY + report.finished,
+                    busy_s * SERVICE_MEMORY + report.busy_s,
+                )
 
     def update(self, now: float) -> None:
         """Bring the estimates up to a Unix time in seconds."""
@@ -46,8 +48,7 @@
             estimate = update_estimate(
                 self._estimates.get(target, DemandEstimate()),
                 arrivals=self._arrivals.get(target, 0),
-                since=since,
-                now=now,
+                elapsed_s=now - since,
             )
             self._estimates[target] = estimate
             if expect_rate(estimate) < FORGOTTEN_RATE:
@@ -60,4 +61,4 @@
 
     def service_s(self) -> dict[str, float]:
         """Return the slot-seconds that one request takes, by target."""
-        return dict(self._service_s)
+        return {target: busy_s / finished for target, (finished, busy_s) in self._service.items()}
--- a/src/cactusshunt/decisions/placement_input.py
+++ b/src/cactusshunt/decisions/placement_input.py
@@ -54,12 +54,23 @@
         return free_memory_mib(self.record)
 
 
+@dataclass(frozen=True, kw_only=True)
+class RemoteEngine:
+    """An engine of another zone in reach, as its zone's digests describe it."""
+
+    name: str
+    availability_zone: str
+    slots: int
+    items: frozenset[str]
+
+
 @dataclass(frozen=True, kw_only=True)
 class PlacementInput:
-    """State of one zone at one moment.
+    """State of one zone, and of the zones in reach, at one moment.
 
-    ``demand`` is the expected arrivals per second by target, ``service_s`` the slot-seconds one
-    request takes, ``remote_holders`` the number of reachable replicas in other zones by item.
+    ``demand`` is the expected arrivals per second by target over all reachable zones,
+    ``service_s`` the slot-seconds one request takes, and ``unheld_since`` the Unix time since which
+    no reachable engine is known to hold an item.
     """
 
     availability_zone: str
@@ -68,9 +79,10 @@
     engines: tuple[EngineView, ...]
     objective: Objective
     now: float
+    remote_engines: tuple[RemoteEngine, ...] = ()
     demand: Mapping[str, float] = field(default_factory=dict)
     service_s: Mapping[str, float] = field(default_factory=dict)
-    remote_holders: Mapping[str, int] = field(default_factory=dict)
+    unheld_since: Mapping[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/cactusshunt/tasks/control_messages.py
+++ b/src/cactusshunt/tasks/control_messages.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from cactusshunt.decisions.catalogue import Catalogue
     from cactusshunt.decisions.membership import Duties
+    from cactusshunt.schema.generated.messages import ItemRate
     from cactusshunt.schema.generated.messages import ModelDemand
     from cactusshunt.schema.generated.messages import Subtree
     from cactusshunt.schema.generated.messages import UpstreamState
@@ -72,6 +73,13 @@
     demand: tuple[ModelDemand, ...]
 
 
+@dataclass(frozen=True, kw_only=True)
+class RatesExpected:
+    """Expected demand of this zone, or of others as their digests tell."""
+
+    rates: tuple[ItemRate, ...]
+
+
 @dataclass(frozen=True, kw_only=True)
 class UpstreamLeaving:
     """An upstream said itself that it is leaving."""
--- a/src/cactusshunt/tasks/entry/entry_process.py
+++ b/src/cactusshunt/tasks/entry/entry_process.py
@@ -153,7 +153,7 @@
             "attempts": self._runner.attempts,
             "resumed_streams": self._runner.resumed,
             "mismatched_answers": self._client.mismatches,
-            "waiting": self._dispatcher.admission.waiting,
+            "waiting": self._dispatcher.waiting,
             "retry_balances": self._dispatcher.retry_balances(),
             "ejected": self._router.ejection.ejected(now),
             "control_heard_at": self._link.heard_at,
--- a/src/cactusshunt/tasks/entry/request_runner.py
+++ b/src/cactusshunt/tasks/entry/request_runner.py
@@ -21,6 +21,7 @@
 from cactusshunt.decisions.attempt import advance_attempt
 from cactusshunt.decisions.attempt import combine_outcomes
 from cactusshunt.decisions.attempt import may_send_again
+from cactusshunt.decisions.dispatch import Wish
 from cactusshunt.exceptions import AnswerMismatchError
 from cactusshunt.exceptions import UpstreamBrokenError
 from cactusshunt.exceptions import UpstreamError
@@ -31,7 +32,6 @@
 from cactusshunt.tasks.entry.answer_body import BodyEnd
 from cactusshunt.tasks.entry.answer_body import EventStream
 from cactusshunt.tasks.entry.answer_body import WholeBody
-from cactusshunt.tasks.entry.dispatcher import Wish
 from cactusshunt.tasks.entry.upstream_client import UpstreamCall
 from cactusshunt.tasks.entry.upstream_client import abort_response
 
--- a/src/cactusshunt/tasks/peer_task.py
+++ b/src/cactusshunt/tasks/peer_task.py
@@ -28,6 +28,7 @@
 from cactusshunt.tasks.control_messages import DemandReported
 from cactusshunt.tasks.control_messages import DutiesAssigned
 from cactusshunt.tasks.control_messages import ObserverHeard
+from cactusshunt.tasks.control_messages import RatesExpected
 from cactusshunt.tasks.control_messages import SettingsAdopted
 from cactusshunt.tasks.control_messages import SubtreesOffered
 from cactusshunt.tasks.control_messages import UpstreamLeaving
@@ -39,6 +40,8 @@
 from cactusshunt.tasks.periodic import Periodic
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from twisted.internet.base import ReactorBase
     from txzmq import ZmqFactory
 
@@ -46,6 +49,7 @@
     from cactusshunt.decisions.membership import Duties
     from cactusshunt.decisions.membership import Membership
     from cactusshunt.decisions.membership import Peer
+    from cactusshunt.schema.generated.messages import ItemRate
     from cactusshunt.schema.generated.messages import Vm
     from cactusshunt.schema.generated.process import ProcessSettings
     from cactusshunt.tasks.message_bus import MessageBus
@@ -53,6 +57,8 @@
 log = Logger("peers")
 
 DIGEST_INTERVAL_S = 1.0
+RATE_STEP = 0.2  # relative change of a rate that is worth sending
+LEAST_RATE = 0.05  # arrivals per second below which changes do not matter
 REFRESH_EVERY = 20  # digests after which one repeats the sender's whole own state
 
 
@@ -66,6 +72,7 @@
         self.settings: dict[str, SubjectVersion] = {}
         self.upstreams: dict[str, UpstreamState] = {}
         self.vms: dict[str, Vm] = {}
+        self.rates: dict[tuple[str, str], ItemRate] = {}
 
 
 class PeerTask:
@@ -93,6 +100,8 @@
         self._relayed: dict[str, UpstreamState] = {}
         self._zone_states: dict[str, UpstreamState] = {}
         self._demand: dict[str, ModelDemand] = {}
+        self._own_rates: dict[tuple[str, str], ItemRate] = {}
+        self._remote_rates: dict[tuple[str, str], ItemRate] = {}
         self._duties: Duties | None = None
         self.versions: dict[str, dict[str, SubjectVersion]] = defaultdict(dict)
         self._server = ServerSocket(
@@ -109,6 +118,7 @@
         bus.subscribe(UpstreamsObserved, self._receive_observation)
         bus.subscribe(UpstreamsRemoved, self._receive_removal)
         bus.subscribe(UpstreamLeaving, lambda _: self._digests.hurry())
+        bus.subscribe(RatesExpected, self._receive_rates)
 
     def start(self) -> None:
         """Begin to exchange digests."""
@@ -165,6 +175,10 @@
                 self._relayed.update({state.vm: state for state in states})
             self._bus.publish(UpstreamsObserved(observer=message.vm, states=states))
         self._bus.publish(ObserverHeard(observer=message.vm))
+        if message.rates:
+            if not local:
+                self._remote_rates.update(_by_zone_and_item(message.rates))
+            self._bus.publish(RatesExpected(rates=tuple(message.rates)))
         if local and message.demand:
             self._bus.publish(DemandReported(demand=tuple(message.demand)))
 
@@ -243,6 +257,12 @@
             if state.availability_zone == self._settings.availability_zone:
                 self._zone_states[state.vm] = state
 
+    def _receive_rates(self, message: RatesExpected) -> None:
+        own = self._settings.availability_zone
+        self._own_rates.update(
+            _by_zone_and_item(rate for rate in message.rates if rate.availability_zone == own)
+        )
+
     def _receive_removal(self, message: UpstreamsRemoved) -> None:
         for name in message.names:
             for states in (self._observed, self._relayed, self._zone_states):
@@ -298,12 +318,14 @@
 
     def _make_local_digest(self, contact: _Contact, demand: list[ModelDemand]) -> PeerDigest:
         states = {**self._relayed, **self._observed}
-        return self._make_digest(contact, states, demand, self._adopted.versions())
+        return self._make_digest(
+            contact, states, self._remote_rates, self._adopted.versions(), demand
+        )
 
     def _make_remote_digest(self, contact: _Contact) -> PeerDigest:
         """Tell another zone what this whole zone has in force, and its items without loads."""
         states = {name: replace(state, load_level=0) for name, state in self._zone_states.items()}
-        return self._make_digest(contact, states, [], self.zone_versions())
+        return self._make_digest(contact, states, self._own_rates, self.zone_versions(), [])
 
     def zone_versions(self) -> list[SubjectVersion]:
         """Return the oldest version of each subject in force at any live node of this zone."""
@@ -319,13 +341,15 @@
         self,
         contact: _Contact,
         states: dict[str, UpstreamState],
-        demand: list[ModelDemand],
+        rates: dict[tuple[str, str], ItemRate],
         versions: list[SubjectVersion],
+        demand: list[ModelDemand],
     ) -> PeerDigest:
         """Return what changed since the last digest to this contact."""
         if contact.sequence % REFRESH_EVERY == 0:
             contact.settings = {}
             contact.upstreams = {}
+            contact.rates = {}
         contact.sequence += 1
         vms = {vm.vm: vm for vm in self.membership.vms}
         lister = self._duties is not None and self._duties.polls_vm_list
@@ -338,6 +362,7 @@
             settings=[v for v in versions if contact.settings.get(v.subject) != v],
             upstreams=[s for name, s in states.items() if contact.upstreams.get(name) != s],
             demand=demand,
+            rates=_changed_rates(contact, rates),
             vms=changed_vms if lister and contact.vms else [],
             removed_vms=sorted(contact.vms.keys() - vms.keys()) if lister else [],
             vm_list_hash=hash_vms(self.membership.vms) if lister else "",
@@ -353,6 +378,21 @@
     return hashlib.blake2b(msgspec.msgpack.encode(vms), digest_size=8).hexdigest()
 
 
+def _by_zone_and_item(rates: Iterable[ItemRate]) -> dict[tuple[str, str], ItemRate]:
+    return {(rate.availability_zone, rate.item): rate for rate in rates}
+
+
+def _changed_rates(contact: _Contact, rates: dict[tuple[str, str], ItemRate]) -> list[ItemRate]:
+    """Return the rates that moved enough since they were sent, and note them as sent."""
+    changed = []
+    for key, rate in rates.items():
+        sent = contact.rates.get(key)
+        if sent is None or abs(rate.rate - sent.rate) > RATE_STEP * max(sent.rate, LEAST_RATE):
+            changed.append(rate)
+            contact.rates[key] = rate
+    return changed
+
+
 def _order(version: SubjectVersion) -> tuple[int, int]:
     return (version.generation, version.revision)
 
--- a/src/cactusshunt/tasks/placement_task.py
+++ b/src/cactusshunt/tasks/placement_task.py
@@ -21,17 +21,21 @@
 from cactusshunt.decisions.ledger import open_record
 from cactusshunt.decisions.ledger import record_order
 from cactusshunt.decisions.ledger import replace_order
+from cactusshunt.decisions.ledger import resident_items
 from cactusshunt.decisions.ledger import settle_record
 from cactusshunt.decisions.ledger import withdraw_order
 from cactusshunt.decisions.placement_input import EngineView
 from cactusshunt.decisions.placement_input import PlacementInput
 from cactusshunt.decisions.placement_input import Plan
+from cactusshunt.decisions.placement_input import RemoteEngine
 from cactusshunt.decisions.planner import make_plan
 from cactusshunt.exceptions import OrderNotSentError
 from cactusshunt.exceptions import OrderRefusedError
+from cactusshunt.schema.generated.messages import ItemRate
 from cactusshunt.schema.generated.messages import Order
 from cactusshunt.schema.generated.settings import UpstreamKind
 from cactusshunt.tasks.control_messages import DemandReported
+from cactusshunt.tasks.control_messages import RatesExpected
 from cactusshunt.tasks.control_messages import SettingsAdopted
 from cactusshunt.tasks.engine_records import EngineRecords
 from cactusshunt.tasks.periodic import Periodic
@@ -81,6 +85,7 @@
         settings: ProcessSettings,
     ) -> None:
         self._reactor = reactor
+        self._bus = bus
         self._engines = engines
         self._lease = lease
         self._membership = membership
@@ -97,12 +102,15 @@
         self._demand = DemandEstimates()
         self._reports: dict[str, EngineReport] = {}
         self._reported_at: dict[str, float] = {}
+        self._remote_rates: dict[tuple[str, str], ItemRate] = {}
+        self._unheld_since: dict[str, float] = {}
         self._records_fence = 0
         self._plan = Plan()
         self.orders_sent = 0
         self._ticks = Periodic(reactor=reactor, interval_s=TICK_S, run=self._tick)
         bus.subscribe(SettingsAdopted, self._receive_settings)
         bus.subscribe(DemandReported, self._receive_demand)
+        bus.subscribe(RatesExpected, self._receive_rates)
 
     def start(self) -> None:
         """Begin to plan."""
@@ -129,9 +137,15 @@
     def _receive_demand(self, message: DemandReported) -> None:
         self._demand.add(message.demand)
 
+    def _receive_rates(self, message: RatesExpected) -> None:
+        for rate in message.rates:
+            if rate.availability_zone != self._settings.availability_zone:
+                self._remote_rates[(rate.availability_zone, rate.item)] = rate
+
     async def _tick(self) -> None:
         now = self._reactor.seconds()
         self._demand.update(now)
+        self._publish_rates()
         if not self._lease.is_held() or not self._has_settings:
             return
         if self._records_fence != self._lease.fence:
@@ -237,6 +251,7 @@
     def _describe_zone(self) -> PlacementInput:
         now = self._reactor.seconds()
         zones = self._membership.reachable_zones(now)
+        remote = self._list_remote_engines(zones)
         leaving = {vm.vm for vm in self._own_engines() if vm.leaving}
         listed = {vm.vm for vm in self._own_engines()}
         return PlacementInput(
@@ -250,9 +265,10 @@
             ),
             objective=self._catalogue.objective,
             now=now,
-            demand=self._demand.rates(),
+            demand=self._sum_rates(zones),
             service_s=self._demand.service_s(),
-            remote_holders=self._count_remote_holders(zones),
+            remote_engines=remote,
+            unheld_since=self._note_unheld(remote, now),
         )
 
     def _view(self, record: EngineRecord, leaving: set[str]) -> EngineView:
@@ -267,16 +283,54 @@
             available=not (gone or silent or engine in leaving),
         )
 
-    def _count_remote_holders(self, zones: set[str]) -> dict[str, int]:
-        counts: dict[str, int] = {}
-        for state in self._routing.states.values():
-            if state.availability_zone == self._settings.availability_zone:
-                continue
-            if state.availability_zone not in zones or state.leaving or state.stale:
-                continue
-            for item in state.items:
-                counts[item] = counts.get(item, 0) + 1
-        return counts
+    def _list_remote_engines(self, zones: set[str]) -> tuple[RemoteEngine, ...]:
+        return tuple(
+            RemoteEngine(
+                name=state.vm,
+                availability_zone=state.availability_zone,
+                slots=state.slots,
+                items=frozenset(state.items),
+            )
+            for state in self._routing.states.values()
+            if state.role == "engine"
+            and state.availability_zone != self._settings.availability_zone
+            and state.availability_zone in zones
+            and not state.leaving
+            and not state.stale
+        )
+
+    def _sum_rates(self, zones: set[str]) -> dict[str, float]:
+        """Return the expected demand of all zones in reach."""
+        total = dict(self._demand.rates())
+        for (zone, item), rate in self._remote_rates.items():
+            if zone in zones:
+                total[item] = total.get(item, 0.0) + rate.rate
+        return total
+
+    def _note_unheld(self, remote: tuple[RemoteEngine, ...], now: float) -> dict[str, float]:
+        """Return since when no engine in reach is known to hold an item."""
+        held = {item for engine in remote for item in engine.items}
+        for record in self._records.records.values():
+            held.update(resident_items(record))
+        declared = {item.item for item in self._catalogue.items.values()}
+        self._unheld_since = {item: self._unheld_since.get(item, now) for item in declared - held}
+        return self._unheld_since
+
+    def _publish_rates(self) -> None:
+        service_s = self._demand.service_s()
+        self._bus.publish(
+            RatesExpected(
+                rates=tuple(
+                    ItemRate(
+                        availability_zone=self._settings.availability_zone,
+                        item=item,
+                        rate=rate,
+                        service_s=service_s.get(item, 0.0),
+                    )
+                    for item, rate in self._demand.rates().items()
+                )
+            )
+        )
 
     async def _give_order(self, planned: PlannedOrder) -> None:
         record = self._records.records[planned.engine]
--- /dev/null
+++ b/tests/decisions/routing.feature
@@ -0,0 +1,41 @@
+Feature: Routing, limits and retries
+
+  Scenario: Every request gets one decision, in time and within the room
+    Given engines, teams and requests of any kind
+    Then in every history each request is assigned once or refused once, none late, none beyond the room
+
+  Scenario: One team's surge stays its own
+    Given an engine of 4 slots and two teams of equal shares
+    When team "a" sends 200 requests and team "b" sends 20 at the same time
+    Then the first 30 requests served hold at least 13 of team "b"
+
+  Scenario: A model with few replicas is not starved by its neighbours
+    Given an engine of 4 slots that holds a busy and a rare model of one team
+    When the busy model gets 200 requests and the rare one 10
+    Then the first 24 requests served hold all 10 of the rare model
+
+  Scenario: A slow upstream gets less work
+    Given 3 engines of 8 slots of which one takes 10 times as long
+    When 600 requests come at 12 a second
+    Then the slow one gets less than a fifth of them
+
+  Scenario: A report that lies cannot draw all requests
+    Given 3 engines of 8 slots of which one always reports no load
+    When 600 requests come at 12 a second
+    Then the lying one gets less than half of them
+
+  Scenario: An upstream that fails fast is left out, but never more than half of a pool
+    Given 4 engines that fail every request
+    When each fails 10 times
+    Then 2 of them are still tried
+
+  Scenario: Retries in a brown-out add less than a fifth to the load
+    Given a team whose requests all fail
+    When it sends 5000 requests
+    Then all attempts together are fewer than 1.2 times the requests
+
+  Scenario: What cannot be served in time is refused at once
+    Given an engine of 4 slots and two teams of equal shares
+    And requests of 1 second each that have waited in line for a while
+    When one more request comes that can wait for 0.5 seconds
+    Then it is refused at once and told to come back after the backlog
