Measure speed and capacity, build the single file, and write the pages

Ruled out: a launcher of the PyInstaller kind (forks). Traced with "strace -f -e trace=process" under the interpreter itself: entry and control each show one execve, two clone3 with CLONE_THREAD (ZeroMQ's threads) and no other process. (Under a shell shim for python3 the shim forks; that is the machine's.)

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,17 @@
 generate: setup
 	$(RUN)/python -W ignore -m cactusshunt.schema.generate
 	$(RUN)/black --quiet src/cactusshunt/schema/generated
+
+binary: setup
+	mkdir -p dist
+	$(RUN)/shiv --compressed --output-file dist/cactusshunt --python "/usr/bin/env python3" \
+		--entry-point cactusshunt.console.application:main . --constraint requirements.txt
+
+bench: setup
+	$(RUN)/python -m measure.bench
+
+capacity: setup
+	$(RUN)/python -m measure.capacity
+
+replay: setup
+	$(RUN)/python -m measure.replay $(ARGS)
--- /dev/null
+++ b/measure/settings_page.py
@@ -0,0 +1,54 @@
+"""Writes ``docs/settings.md`` from the schemas; ``python -m measure.settings_page``."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from cactusshunt.decisions.documents import load_schema
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "settings.md"
+INTRODUCTION = """# Settings reference
+
+Generated from the schemas by `python -m measure.settings_page`.
+"""
+
+
+def describe_type(schema: dict[str, Any]) -> str:
+    """Return a property's type with its bounds."""
+    if "$ref" in schema:
+        return f"`{schema['$ref'].rpartition('/')[2]}`"
+    if "enum" in schema:
+        return "one of " + ", ".join(f"`{value}`" for value in schema["enum"])
+    if schema.get("type") == "array":
+        return f"list of {describe_type(schema['items'])}"
+    if "additionalProperties" in schema:
+        return f"{describe_type(schema['additionalProperties'])} by name"
+    low = schema.get("minimum", schema.get("exclusiveMinimum"))
+    bounds = f", {low} to {schema['maximum']}" if "maximum" in schema else ""
+    return f"{schema.get('type', 'any')}{bounds}"
+
+
+def describe_object(name: str, schema: dict[str, Any]) -> str:
+    """Return the section of one document or of the process settings."""
+    lines = [f"\n## {name}\n", schema.get("description", ""), ""]
+    lines += ["| key | type | default | meaning |", "|---|---|---|---|"]
+    required = schema.get("required", [])
+    for key, found in schema.get("properties", {}).items():
+        default = "required" if key in required else f"`{found.get('default')}`"
+        meaning = found.get("description", "")
+        lines.append(f"| `{key}` | {describe_type(found)} | {default} | {meaning} |")
+    return "\n".join(lines) + "\n"
+
+
+def make_page() -> str:
+    """Return the page."""
+    process = load_schema("process")
+    parts = [INTRODUCTION, describe_object("Process settings (a file on each VM)", process)]
+    for name, schema in load_schema("settings")["$defs"].items():
+        parts.append(describe_object(name, schema))
+    return "".join(parts)
+
+
+if __name__ == "__main__":
+    PAGE.write_text(make_page(), encoding="utf-8")
--- a/src/cactusshunt/decisions/router.py
+++ b/src/cactusshunt/decisions/router.py
@@ -71,16 +71,18 @@
     def update_upstreams(
         self, upstreams: Iterable[UpstreamState], removed: Iterable[str], now: float
     ) -> None:
-        """Take what changed since the last list."""
-        changed = dict(self._upstreams)
+        """Take what changed since the last list; new load levels alone need no new index."""
+        moved = False
         for name in removed:
-            changed.pop(name, None)
+            moved |= self._upstreams.pop(name, None) is not None
             self.ejection.forget(name)
         for upstream in upstreams:
-            changed[upstream.vm] = upstream
-        self._upstreams = changed
+            known = self._upstreams.get(upstream.vm)
+            moved |= known is None or _placement_of(known) != _placement_of(upstream)
+            self._upstreams[upstream.vm] = upstream
         self._heard_at = now
-        self._index(now)
+        if moved or any(until <= now for until in self._leaving_until.values()):
+            self._index(now)
 
     def mark_leaving(self, name: str, now: float) -> None:
         """Stop giving work to an upstream that said itself that it is leaving.
@@ -213,3 +215,8 @@
             self._versions[target_of(item)].append(item)
         self._pools = dict(pools)
         self._first_held_at = held
+
+
+def _placement_of(upstream: UpstreamState) -> tuple[object, ...]:
+    """Return the part of a state that decides which requests an upstream can get."""
+    return (upstream.role, upstream.kind, upstream.leaving, tuple(upstream.items))
--- /dev/null
+++ b/tests/steps/capacity_steps.py
@@ -0,0 +1,62 @@
+"""Steps on the shape of costs, by counting messages, bytes and calls."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import then
+from behave import when
+
+from measure.capacity.peer_cost import PeerSize
+from measure.capacity.peer_cost import measure_peers
+from measure.capacity.store_cost import STORE_ANSWER_S
+from measure.capacity.store_cost import measure_claim_calls
+from measure.capacity.store_cost import measure_lease_calls
+from measure.capacity.store_cost import measure_watcher_calls
+
+LIMIT_BYTES = 18_000
+LEASE_TTL_S = 6
+
+
+@when("zones of {first:d}, {second:d} and {third:d} nodes exchange digests")
+def step_zones(context: Any, first: int, second: int, third: int) -> None:
+    context.costs = {
+        nodes: measure_peers(
+            PeerSize(zones=1, nodes_per_zone=nodes, engines_per_zone=nodes * 2, targets=60)
+        )
+        for nodes in (first, second, third)
+    }
+
+
+@then("a node sends at most {limit:d} messages a second in each")
+def step_messages(context: Any, limit: int) -> None:
+    for nodes, cost in context.costs.items():
+        assert cost.messages <= limit, (nodes, cost)
+
+
+@then("a node that holds no lease sends and receives at most 18 KB a second at {nodes:d} nodes")
+def step_bytes(context: Any, nodes: int) -> None:
+    cost = context.costs[nodes]
+    others = (cost.sent_bytes + cost.received_bytes) * nodes - cost.busiest_bytes
+    assert others / (nodes - 1) <= LIMIT_BYTES, cost
+
+
+@when(
+    "entries with {first:d}, {second:d} and {third:d} non-repeatable requests a second "
+    "claim their keys"
+)
+def step_claims(context: Any, first: int, second: int, third: int) -> None:
+    context.calls = {rate: measure_claim_calls(rate) for rate in (first, second, third)}
+
+
+@then("none makes more calls a second than the store's answer time allows")
+def step_calls(context: Any) -> None:
+    for rate, calls in context.calls.items():
+        assert calls <= min(rate, 1.0 / STORE_ANSWER_S) + 1.0, context.calls
+
+
+@then("a watcher makes at most 2 calls a second and a lease holder at most 1")
+def step_rare(context: Any) -> None:
+    del context
+    assert measure_watcher_calls() <= 2.0
+    assert measure_lease_calls(LEASE_TTL_S) <= 1.0
