Split large modules, name the line of a syntax error, and describe capacity

Ruled out: the parser's own error node (it spans from the last whole member).

Conclusion: behaviour unchanged but for the line; the capacity table follows from a run of its own.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 
 capacity: setup
 	$(RUN)/python -m measure.capacity
+	$(RUN)/python -m measure.capacity.page
 
 replay: setup
 	$(RUN)/python -m measure.replay $(ARGS)
--- /dev/null
+++ b/measure/capacity/page.py
@@ -0,0 +1,178 @@
+"""Renews the table in ``docs/CAPACITY.md`` from ``build/capacity.json``."""
+
+from __future__ import annotations
+
+import json
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+PAGE = ROOT / "docs" / "CAPACITY.md"
+BEGIN = "<!-- table -->"
+END = "<!-- end of table -->"
+NODES_PER_ZONE = 820 / 12
+ENGINES_PER_ZONE = 10_000 / 12
+REQUESTS_PER_NODE_S = 59_000 / 820
+KB = 1000.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Row:
+    """One line of the table; ``scale`` turns the slope's unit into the printed one."""
+
+    role: str
+    what: str
+    slope: str
+    size: float
+    scale: float
+    unit: str
+    limit: float
+    mechanism: str
+
+
+ROWS = (
+    Row(
+        role="control, member",
+        what="messages sent a second",
+        slope="messages sent",
+        size=NODES_PER_ZONE,
+        scale=1.0,
+        unit="1/s",
+        limit=0.0,
+        mechanism="`digest_interval_s`: at most 16 digests a second; the line overstates it",
+    ),
+    Row(
+        role="control, member",
+        what="bytes sent and received a second",
+        slope="bytes sent and received by a node",
+        size=NODES_PER_ZONE,
+        scale=1 / KB,
+        unit="KB/s",
+        limit=18.0,
+        mechanism="`PeerTask`, `decisions/digest.py`: changes only, load levels apart",
+    ),
+    Row(
+        role="control, lease holder",
+        what="bytes sent and received a second",
+        slope="bytes of the lease holder",
+        size=NODES_PER_ZONE,
+        scale=1 / KB,
+        unit="KB/s",
+        limit=18.0,
+        mechanism="demand goes to the holder alone; on paper: thinned counts, numbers for "
+        "names, a layer that adds up",
+    ),
+    Row(
+        role="control, member",
+        what="processor time of digests",
+        slope="processor time",
+        size=NODES_PER_ZONE,
+        scale=100.0,
+        unit="% of a core",
+        limit=3.0,
+        mechanism="`PeerTask`; owners worked out only on change",
+    ),
+    Row(
+        role="control, lease holder",
+        what="processor time of planning, one pass a second over its zone",
+        slope="one planning pass",
+        size=ENGINES_PER_ZONE,
+        scale=100.0,
+        unit="% of a core",
+        limit=3.0,
+        mechanism="`make_plan`; a pass every few seconds would do, not built",
+    ),
+    Row(
+        role="control, each node",
+        what="memory of all upstreams' states",
+        slope="upstream states kept",
+        size=10_000,
+        scale=1e-6,
+        unit="MB",
+        limit=64.0,
+        mechanism="`RoutingTask`; on top of 59.4 MB at start, see below",
+    ),
+    Row(
+        role="entry, control share",
+        what="processor time of updates, two a second",
+        slope="one update of an entry's upstreams",
+        size=10_000,
+        scale=200.0,
+        unit="% of a core",
+        limit=3.0,
+        mechanism="`Router.update_upstreams`: no new index for load levels",
+    ),
+    Row(
+        role="entry, data path",
+        what="processor time of choosing upstreams at 72 requests a second",
+        slope="one choice of an upstream",
+        size=10_000,
+        scale=100.0 * REQUESTS_PER_NODE_S,
+        unit="% of a core",
+        limit=0.0,
+        mechanism="`Router.choose`",
+    ),
+    Row(
+        role="store",
+        what="calls of the lease holders, 12 zones renewing every 2 s",
+        slope="calls of a lease holder",
+        size=0.5,
+        scale=12.0,
+        unit="1/s",
+        limit=2000.0,
+        mechanism="`LeaseTask`",
+    ),
+    Row(
+        role="store",
+        what="writes for claims, 1 in 100 requests keyed, at 820 entries",
+        slope="calls of one entry for claims",
+        size=REQUESTS_PER_NODE_S / 100,
+        scale=820.0,
+        unit="1/s",
+        limit=400.0,
+        mechanism="`OnceClaims`: one call at a time; on paper: a node a zone gathers claims",
+    ),
+)
+
+
+def describe(row: Row, slopes: dict[str, Any]) -> str:
+    """Return one line of the table."""
+    slope = slopes[row.slope]
+    points = slope["points"]
+    at_least = max(0.0, slope["base"])
+    if row.slope == "calls of one entry for claims":
+        value = row.size * row.scale
+    else:
+        value = (at_least + slope["per_unit"] * row.size) * row.scale
+    verdict = ""
+    if row.limit:
+        part = value / row.limit
+        verdict = f"{row.limit:g}; " + ("held" if part <= 1 else f"missed {part:.1f} times")
+    measured = ", ".join(f"{x:g}: {y:.3g}" for x, y in points)
+    return (
+        f"| {row.role} | {row.what} | {measured} {slope['unit']} ({slope['size']}) | "
+        f"{at_least:.3g} + {slope['per_unit']:.3g} n | {value:.3g} {row.unit} | {verdict} | "
+        f"{row.mechanism} |"
+    )
+
+
+def main() -> None:
+    """Renew the table."""
+    found = json.loads((ROOT / "build" / "capacity.json").read_text(encoding="utf-8"))
+    slopes = {slope["name"]: slope for slope in found["slopes"]}
+    lines = [
+        "| role | what | measured | formula | at the target size | limit | mechanism |",
+        "|---|---|---|---|---|---|---|",
+        *(describe(row, slopes) for row in ROWS),
+    ]
+    text = PAGE.read_text(encoding="utf-8")
+    before, _, rest = text.partition(BEGIN)
+    after = rest.partition(END)[2]
+    table = "\n".join(lines)
+    PAGE.write_text(f"{before}{BEGIN}\n{table}\n{END}{after}", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cactusshunt/decisions/documents.py
+++ b/src/cactusshunt/decisions/documents.py
@@ -42,12 +42,12 @@
     ``$defs``, or the schema itself when it is ``None``.
     """
     tree = _parse(text.encode())
-    if tree.root_node.has_error:
-        return [_describe_syntax_error(tree.root_node)]
     try:
         value = json.loads(strip_comments(text))
     except json.JSONDecodeError as failure:
-        return [_syntax_error(line=failure.lineno)]
+        return [_syntax_error(line=_line_before(failure))]
+    if tree.root_node.has_error:
+        return [_describe_syntax_error(tree.root_node)]
     found = _duplicate_keys(tree.root_node)
     for error in _validator(schema_name, definition).iter_errors(value):
         found.extend(_describe(error, tree.root_node))
@@ -85,6 +85,11 @@
         yield from _walk(child)
 
 
+def _line_before(failure: json.JSONDecodeError) -> int:
+    """Return the line of the last token that could be read, where the mistake mostly is."""
+    return failure.doc[: failure.pos].rstrip().count("\n") + 1
+
+
 def _syntax_error(*, line: int) -> SettingsError:
     return SettingsError(
         path="$",
--- a/src/cactusshunt/tasks/administration/api.py
+++ b/src/cactusshunt/tasks/administration/api.py
@@ -30,6 +30,7 @@
 from cactusshunt.exceptions import StoreError
 from cactusshunt.exceptions import StoreUnavailableError
 from cactusshunt.schema.generated.messages import Subtree
+from cactusshunt.tasks.administration import problems
 from cactusshunt.tasks.administration.preview import ALL_RECORDS_PREFIX
 from cactusshunt.tasks.administration.preview import preview_change
 from cactusshunt.tasks.administration.settings_writer import SettingsWriter
@@ -52,8 +53,6 @@
 
 audit = Logger("audit")
 
-BODY_LIMIT_BYTES = 1024 * 1024
-COME_BACK_S = 2.0
 CALL_TIMEOUT_S = 2.0
 
 
@@ -169,12 +168,12 @@
         token = read_bearer_token(request.getHeader("Authorization"))
         administrator = find_administrator(self._settings.catalogue.administrators, token)
         if administrator is None:
-            return Error(_unauthorised())
+            return Error(problems.unauthorised())
         if not may_administer(administrator, subject) or not is_subject(subject):
-            return Error(_forbidden())
+            return Error(problems.forbidden())
         body = request.content.read() if request.content is not None else b""
-        if len(body) > BODY_LIMIT_BYTES:
-            return Error(_too_large())
+        if len(body) > problems.BODY_LIMIT_BYTES:
+            return Error(problems.too_large())
         return Ok(Call(request=request, subject=subject, administrator=administrator, body=body))
 
     async def _read_subject(self, call: Call) -> Answer:
@@ -199,7 +198,7 @@
         """Answer from what is in force here while the store is out of reach."""
         subtree = self._settings.adopted.get(subject)
         if subtree is None:
-            return Error(_store_problem(self._reactor.seconds()))
+            return Error(problems.store_problem(self._reactor.seconds()))
         return Ok(
             {
                 "subject": subject,
@@ -211,27 +210,21 @@
         )
 
     async def _write_subject(self, call: Call) -> Answer:
-        change = _decode_body(call.body, SettingsChange)
-        if change.is_error():
-            return Error(change.error)
-        prepared = await self._prepare(call, change.ok)
+        prepared = await self._prepare(call)
         if prepared.is_error():
             return Error(prepared.error)
         stored, subtree = prepared.ok
         return await self._commit(call, stored, subtree)
 
     async def _try_change(self, call: Call) -> Answer:
-        change = _decode_body(call.body, SettingsChange)
-        if change.is_error():
-            return Error(change.error)
-        prepared = await self._prepare(call, change.ok)
+        prepared = await self._prepare(call)
         if prepared.is_error():
             return Error(prepared.error)
         records = await self._store.read_prefix(
             ALL_RECORDS_PREFIX, deadline=self._reactor.seconds() + CALL_TIMEOUT_S
         )
         if records.is_error():
-            return Error(_store_problem(self._reactor.seconds()))
+            return Error(problems.store_problem(self._reactor.seconds()))
         preview = preview_change(
             self._settings.adopted.subtrees, prepared.ok[1], records.ok, self._reactor.seconds()
         )
@@ -243,20 +236,20 @@
             return Error(body.error)
         found = await self._writer.read(call.subject)
         if found.is_error():
-            return Error(_store_problem(self._reactor.seconds()))
+            return Error(problems.store_problem(self._reactor.seconds()))
         wanted = [v for v in found.ok.history if v.revision == body.ok.to_revision]
         if not wanted:
-            return Error(_no_such_revision(call.subject, body.ok.to_revision))
+            return Error(problems.no_such_revision(call.subject, body.ok.to_revision))
         subtree = self._make_subtree(call, found.ok, dict(wanted[0].documents), "")
         errors = judge_subtree(call.subject, subtree.documents)
         if errors:
-            return Error(_invalid(tuple(str(error) for error in errors)))
+            return Error(problems.invalid(tuple(str(error) for error in errors)))
         return await self._commit(call, found.ok, subtree)
 
     async def _read_history(self, call: Call) -> Answer:
         found = await self._writer.read(call.subject)
         if found.is_error():
-            return Error(_store_problem(self._reactor.seconds()))
+            return Error(problems.store_problem(self._reactor.seconds()))
         versions = list(found.ok.history)
         if found.ok.accepted is not None:
             versions.append(found.ok.accepted)
@@ -283,29 +276,30 @@
             }
         )
 
-    async def _prepare(
-        self, call: Call, change: SettingsChange
-    ) -> Result[tuple[StoredSubtree, Subtree], Problem]:
+    async def _prepare(self, call: Call) -> Result[tuple[StoredSubtree, Subtree], Problem]:
         """Read the newest version, check the caller's, and judge the changed documents."""
+        change = _decode_body(call.body, SettingsChange)
+        if change.is_error():
+            return Error(change.error)
         expected = (call.request.getHeader("If-Match") or "").strip('"')
         if not expected.isdigit():
-            return Error(_precondition_required())
+            return Error(problems.precondition_required())
         found = await self._writer.read(call.subject)
         if found.is_error():
-            return Error(_store_problem(self._reactor.seconds()))
+            return Error(problems.store_problem(self._reactor.seconds()))
         stored = found.ok
         if stored.accepted_revision != int(expected):
-            return Error(_lost_race(stored))
+            return Error(problems.lost_race(stored))
         documents = stored.documents
-        for path, text in change.documents.items():
+        for path, text in change.ok.documents.items():
             if text is None:
                 documents.pop(path, None)
             else:
                 documents[path] = text
         errors = judge_subtree(call.subject, documents)
         if errors:
-            return Error(_invalid(tuple(str(error) for error in errors)))
-        return Ok((stored, self._make_subtree(call, stored, documents, change.write_id)))
+            return Error(problems.invalid(tuple(str(error) for error in errors)))
+        return Ok((stored, self._make_subtree(call, stored, documents, change.ok.write_id)))
 
     def _make_subtree(
         self, call: Call, stored: StoredSubtree, documents: dict[str, str], write_id: str
@@ -343,17 +337,21 @@
 
     async def _describe_failure(self, subject: str, error: StoreError, subtree: Subtree) -> Problem:
         if isinstance(error, StoreUnavailableError):
-            return _store_problem(self._reactor.seconds())
+            return problems.store_problem(self._reactor.seconds())
         if not isinstance(error, CompareFailedError):
             return replace(
-                _store_problem(self._reactor.seconds()),
+                problems.store_problem(self._reactor.seconds()),
                 status=504,
                 kind="write-outcome-unknown",
                 detail=f"It is not known whether write {subtree.write_id} took effect.",
                 remedy="Read the history and look for the write_id, then decide.",
             )
         found = await self._writer.read(subject)
-        return _lost_race(found.ok) if found.is_ok() else _store_problem(self._reactor.seconds())
+        return (
+            problems.lost_race(found.ok)
+            if found.is_ok()
+            else problems.store_problem(self._reactor.seconds())
+        )
 
 
 def _decode_body(body: bytes, kind: type[Any]) -> Result[Any, Problem]:
@@ -368,81 +366,3 @@
                 remedy="See docs/operators.md for the body of this call.",
             )
         )
-
-
-def _unauthorised() -> Problem:
-    return Problem(
-        status=401,
-        kind="no-administrator",
-        detail="The call carries no token of an administrator.",
-        remedy="Send Authorization: Bearer <token>; tokens stand in deployment/administrators.",
-    )
-
-
-def _forbidden() -> Problem:
-    return Problem(
-        status=403,
-        kind="subject-not-allowed",
-        detail="The token is not for this subtree.",
-        remedy="Use the token of this team's administrator.",
-    )
-
-
-def _too_large() -> Problem:
-    return Problem(
-        status=413,
-        kind="body-too-large",
-        detail=f"The body is larger than {BODY_LIMIT_BYTES} bytes.",
-        remedy="Split the change.",
-    )
-
-
-def _store_problem(now: float) -> Problem:
-    return Problem(
-        status=503,
-        kind="store-unavailable",
-        detail="The platform's key-value service did not answer; nothing was written.",
-        remedy="Try again; callers are served with the settings in force.",
-        come_back_at=now + COME_BACK_S,
-    )
-
-
-def _precondition_required() -> Problem:
-    return Problem(
-        status=428,
-        kind="version-required",
-        detail="The call names no version.",
-        remedy='Read the subtree and send its revision as If-Match: "<revision>".',
-    )
-
-
-def _lost_race(stored: StoredSubtree) -> Problem:
-    accepted = stored.accepted
-    author = accepted.author if accepted is not None else "nobody"
-    documents = msgspec.json.encode(stored.documents).decode()
-    return Problem(
-        status=412,
-        kind="other-change-first",
-        detail=f"Revision {stored.accepted_revision} by {author} stands now.",
-        remedy="Read the subtree again and repeat the change on it.",
-        errors=(documents,),
-    )
-
-
-def _invalid(errors: tuple[str, ...]) -> Problem:
-    return Problem(
-        status=422,
-        kind="invalid-settings",
-        detail="The settings are not valid; nothing was written.",
-        remedy="Mend each place that is named.",
-        errors=errors,
-    )
-
-
-def _no_such_revision(subject: str, revision: int) -> Problem:
-    return Problem(
-        status=404,
-        kind="no-such-revision",
-        detail=f"The history of {subject} has no revision {revision}.",
-        remedy="Read the history for the revisions that are kept.",
-    )
--- a/src/cactusshunt/tasks/administration/settings_writer.py
+++ b/src/cactusshunt/tasks/administration/settings_writer.py
@@ -12,6 +12,7 @@
 from expression import Ok
 from expression import Result
 
+from cactusshunt.decisions.settings_keys import accepted_key
 from cactusshunt.edges.store import ABSENT
 from cactusshunt.edges.store import Commit
 from cactusshunt.edges.store import Put
@@ -20,7 +21,6 @@
 from cactusshunt.schema.codec import decode_record
 from cactusshunt.schema.codec import encode_record
 from cactusshunt.schema.generated.messages import Subtree
-from cactusshunt.tasks.settings_task import accepted_key
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/cactusshunt/tasks/peer_task.py
+++ b/src/cactusshunt/tasks/peer_task.py
@@ -2,19 +2,28 @@
 
 from __future__ import annotations
 
-import hashlib
 import uuid
 
 from collections import defaultdict
+from dataclasses import dataclass
 from dataclasses import replace
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 from typing import Any
 
-import msgspec
-
 from logbook import Logger
 
+from cactusshunt.decisions.digest import SHORTEST_INTERVAL_S
+from cactusshunt.decisions.digest import SentState
+from cactusshunt.decisions.digest import add_demand
+from cactusshunt.decisions.digest import digest_interval_s
+from cactusshunt.decisions.digest import hash_vms
+from cactusshunt.decisions.digest import index_rates
+from cactusshunt.decisions.digest import order_version
+from cactusshunt.decisions.digest import pack_demand
+from cactusshunt.decisions.digest import split_changes
+from cactusshunt.decisions.digest import take_changed_rates
+from cactusshunt.decisions.digest import unpack_demand
 from cactusshunt.schema.generated.messages import EntryReport
 from cactusshunt.schema.generated.messages import ModelDemand
 from cactusshunt.schema.generated.messages import PeerDigest
@@ -40,9 +49,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
-    from collections.abc import Mapping
-    from collections.abc import Sequence
 
     from twisted.internet.base import ReactorBase
 
@@ -59,25 +65,17 @@
 
 log = Logger("peers")
 
-SHORTEST_INTERVAL_S = 1.0
-DIGESTS_PER_S = 16.0  # of one node, however many contacts it has
-RATE_STEP = 0.2  # relative change of a rate that is worth sending
-LEAST_RATE = 0.05  # arrivals per second below which changes do not matter
 REFRESH_EVERY = 20  # digests after which one repeats what the sender itself observes
 REFRESH_ALL_EVERY = 240  # digests after which one repeats what the sender passes on as well
 
 
+@dataclass(frozen=True, kw_only=True)
 class _Contact:
-    """What was already sent to one peer."""
+    """A peer to which digests go."""
 
-    def __init__(self, *, socket: ClientLink, address: str) -> None:
-        self.socket = socket
-        self.address = address
-        self.sequence = 0
-        self.settings: dict[str, SubjectVersion] = {}
-        self.upstreams: dict[str, UpstreamState] = {}
-        self.vms: dict[str, Vm] = {}
-        self.rates: dict[tuple[str, str], ItemRate] = {}
+    socket: ClientLink
+    address: str
+    sent: SentState
 
 
 class PeerTask:
@@ -182,7 +180,7 @@
         self._bus.publish(ObserverHeard(observer=message.vm))
         if message.rates:
             if not local:
-                self._remote_rates.update(_by_zone_and_item(message.rates))
+                self._remote_rates.update(index_rates(message.rates))
             self._bus.publish(RatesExpected(rates=tuple(message.rates)))
         if local and message.demand:
             self._bus.publish(DemandReported(demand=unpack_demand(message.demand)))
@@ -212,7 +210,7 @@
     def _(self, message: EntryReport, sender: bytes) -> None:
         del sender
         for demand in message.demand:
-            self._demand[demand.item] = _add_demand(self._demand.get(demand.item), demand)
+            self._demand[demand.item] = add_demand(self._demand.get(demand.item), demand)
         for name in message.leaving:
             self._bus.publish(UpstreamLeaving(name=name))
         self._bus.publish(DemandReported(demand=tuple(message.demand)))
@@ -265,7 +263,7 @@
     def _receive_rates(self, message: RatesExpected) -> None:
         own = self._settings.availability_zone
         self._own_rates.update(
-            _by_zone_and_item(rate for rate in message.rates if rate.availability_zone == own)
+            index_rates(rate for rate in message.rates if rate.availability_zone == own)
         )
 
     def _receive_removal(self, message: UpstreamsRemoved) -> None:
@@ -302,7 +300,7 @@
             address=peer.address,
             identity=self._identity,
         )
-        return _Contact(socket=socket, address=peer.address)
+        return _Contact(socket=socket, address=peer.address, sent=SentState())
 
     async def _send_digests(self) -> None:
         self._assign_duties()
@@ -325,13 +323,13 @@
     def _make_local_digest(self, contact: _Contact, demand: list[ModelDemand]) -> PeerDigest:
         states = {**self._relayed, **self._observed}
         return self._make_digest(
-            contact, states, self._remote_rates, self._adopted.versions(), demand
+            contact.sent, states, self._remote_rates, self._adopted.versions(), demand
         )
 
     def _make_remote_digest(self, contact: _Contact) -> PeerDigest:
         """Tell another zone what this whole zone has in force, and its items without loads."""
         states = {name: replace(state, load_level=0) for name, state in self._zone_states.items()}
-        return self._make_digest(contact, states, self._own_rates, self.zone_versions(), [])
+        return self._make_digest(contact.sent, states, self._own_rates, self.zone_versions(), [])
 
     def zone_versions(self) -> list[SubjectVersion]:
         """Return the oldest version of each subject in force at any live node of this zone."""
@@ -339,127 +337,45 @@
         for peer in self.membership.live_peers(self._reactor.seconds()):
             for subject, version in list(lowest.items()):
                 known = self.versions.get(peer.vm, {}).get(subject)
-                if known is not None and _order(known) < _order(version):
+                if known is not None and order_version(known) < order_version(version):
                     lowest[subject] = known
         return [lowest[subject] for subject in sorted(lowest)]
 
     def _make_digest(
         self,
-        contact: _Contact,
+        sent: SentState,
         states: dict[str, UpstreamState],
         rates: dict[tuple[str, str], ItemRate],
         versions: list[SubjectVersion],
         demand: list[ModelDemand],
     ) -> PeerDigest:
         """Return what changed since the last digest to this contact."""
-        if contact.sequence % REFRESH_ALL_EVERY == 0:
-            contact.upstreams = {}
-            contact.rates = {}
-        if contact.sequence % REFRESH_EVERY == 0:
-            contact.settings = {}
+        if sent.sequence % REFRESH_ALL_EVERY == 0:
+            sent.upstreams = {}
+            sent.rates = {}
+        if sent.sequence % REFRESH_EVERY == 0:
+            sent.settings = {}
             for name in self._observed:
-                contact.upstreams.pop(name, None)
-        contact.sequence += 1
-        changed, levels = _split_changes(contact.upstreams, states)
+                sent.upstreams.pop(name, None)
+        sent.sequence += 1
+        changed, levels = split_changes(sent.upstreams, states)
         vms = {vm.vm: vm for vm in self.membership.vms}
         lister = self._duties is not None and self._duties.polls_vm_list
-        changed_vms = [vm for name, vm in vms.items() if contact.vms.get(name) != vm]
+        changed_vms = [vm for name, vm in vms.items() if sent.vms.get(name) != vm]
         digest = PeerDigest(
             vm=self._settings.vm,
             availability_zone=self._settings.availability_zone,
             holds_lease=self._holds_lease(),
-            settings=[v for v in versions if contact.settings.get(v.subject) != v],
+            settings=[v for v in versions if sent.settings.get(v.subject) != v],
             upstreams=changed,
             load_levels=levels,
             demand=pack_demand(demand),
-            rates=_changed_rates(contact, rates),
-            vms=changed_vms if lister and contact.vms else [],
-            removed_vms=sorted(contact.vms.keys() - vms.keys()) if lister else [],
+            rates=take_changed_rates(sent, rates),
+            vms=changed_vms if lister and sent.vms else [],
+            removed_vms=sorted(sent.vms.keys() - vms.keys()) if lister else [],
             vm_list_hash=hash_vms(self.membership.vms) if lister else "",
         )
-        contact.settings = {version.subject: version for version in versions}
-        contact.upstreams = dict(states)
-        contact.vms = vms
+        sent.settings = {version.subject: version for version in versions}
+        sent.upstreams = dict(states)
+        sent.vms = vms
         return digest
-
-
-def pack_demand(demand: list[ModelDemand]) -> dict[str, list[int]]:
-    """Return demand in the short form of a digest."""
-    return {
-        found.item: [found.arrivals, found.late, found.finished, int(found.busy_s * 1000)]
-        for found in demand
-    }
-
-
-def unpack_demand(packed: Mapping[str, Sequence[int]]) -> tuple[ModelDemand, ...]:
-    """Return demand from the short form of a digest."""
-    return tuple(
-        ModelDemand(
-            item=item,
-            arrivals=counts[0],
-            waiting=0,
-            late=counts[1],
-            finished=counts[2],
-            busy_s=counts[3] / 1000,
-        )
-        for item, counts in packed.items()
-    )
-
-
-def digest_interval_s(contacts: int) -> float:
-    """Return the seconds between digests that keep a node's messages a second constant."""
-    return max(SHORTEST_INTERVAL_S, contacts / DIGESTS_PER_S)
-
-
-def _split_changes(
-    before: dict[str, UpstreamState], states: dict[str, UpstreamState]
-) -> tuple[list[UpstreamState], dict[str, int]]:
-    """Return the states that changed, and the load levels of those of which only that changed."""
-    changed: list[UpstreamState] = []
-    levels: dict[str, int] = {}
-    for name, state in states.items():
-        known = before.get(name)
-        if known is state or known == state:
-            continue
-        if known is not None and replace(known, load_level=state.load_level) == state:
-            levels[name] = state.load_level
-        else:
-            changed.append(state)
-    return changed, levels
-
-
-def hash_vms(vms: list[Vm]) -> str:
-    """Return a hash of a VM list sorted by name."""
-    return hashlib.blake2b(msgspec.msgpack.encode(vms), digest_size=8).hexdigest()
-
-
-def _by_zone_and_item(rates: Iterable[ItemRate]) -> dict[tuple[str, str], ItemRate]:
-    return {(rate.availability_zone, rate.item): rate for rate in rates}
-
-
-def _changed_rates(contact: _Contact, rates: dict[tuple[str, str], ItemRate]) -> list[ItemRate]:
-    """Return the rates that moved enough since they were sent, and note them as sent."""
-    changed = []
-    for key, rate in rates.items():
-        sent = contact.rates.get(key)
-        if sent is None or abs(rate.rate - sent.rate) > RATE_STEP * max(sent.rate, LEAST_RATE):
-            changed.append(rate)
-            contact.rates[key] = rate
-    return changed
-
-
-def _order(version: SubjectVersion) -> tuple[int, int]:
-    return (version.generation, version.revision)
-
-
-def _add_demand(before: ModelDemand | None, demand: ModelDemand) -> ModelDemand:
-    if before is None:
-        return demand
-    return ModelDemand(
-        item=demand.item,
-        arrivals=before.arrivals + demand.arrivals,
-        waiting=max(before.waiting, demand.waiting),
-        late=before.late + demand.late,
-        finished=before.finished + demand.finished,
-        busy_s=before.busy_s + demand.busy_s,
-    )
--- a/src/cactusshunt/tasks/settings_task.py
+++ b/src/cactusshunt/tasks/settings_task.py
@@ -17,9 +17,13 @@
 from cactusshunt.decisions.adoption import AdoptedSettings
 from cactusshunt.decisions.adoption import Verdict
 from cactusshunt.decisions.adoption import version_of
-from cactusshunt.decisions.catalogue import DEPLOYMENT_SUBJECT
 from cactusshunt.decisions.catalogue import Catalogue
 from cactusshunt.decisions.catalogue import build_catalogue
+from cactusshunt.decisions.settings_keys import ACCEPTED_PREFIX
+from cactusshunt.decisions.settings_keys import WRITTEN_PREFIXES
+from cactusshunt.decisions.settings_keys import accepted_key
+from cactusshunt.decisions.settings_keys import merge_documents
+from cactusshunt.decisions.settings_keys import split_key
 from cactusshunt.decisions.subtree import judge_subtree
 from cactusshunt.edges.store import ABSENT
 from cactusshunt.edges.store import Commit
@@ -45,8 +49,6 @@
 
 log = Logger("settings")
 
-ACCEPTED_PREFIX = "accepted/"
-WRITTEN_PREFIXES = ("teams/", "deployment/")
 CALL_TIMEOUT_S = 2.0
 CHECK_INTERVAL_S = 3.0  # longest time for which a silently ended watch goes unnoticed
 ACCEPT_DELAY_S = 0.15  # lets an operator's writes of several keys arrive together
@@ -373,33 +375,3 @@
 
     def _deadline(self) -> float:
         return self._reactor.seconds() + CALL_TIMEOUT_S
-
-
-def accepted_key(subject: str) -> str:
-    """Return the store key of a subject's accepted version."""
-    return f"{ACCEPTED_PREFIX}{subject}"
-
-
-def merge_documents(
-    older: dict[str, str], written: dict[str, str], newer: dict[str, str]
-) -> dict[str, str]:
-    """Return ``newer`` with the changes that lead from ``older`` to ``written``."""
-    merged = dict(newer)
-    for path in older.keys() | written.keys():
-        if older.get(path) == written.get(path):
-            continue
-        if path in written:
-            merged[path] = written[path]
-        else:
-            merged.pop(path, None)
-    return merged
-
-
-def split_key(key: str) -> tuple[str, str]:
-    """Return the subject and the path below it of a written document's key."""
-    if key.startswith(f"{DEPLOYMENT_SUBJECT}/"):
-        return DEPLOYMENT_SUBJECT, key.removeprefix(f"{DEPLOYMENT_SUBJECT}/")
-    team_end = key.find("/", len("teams/"))
-    if team_end < 0:
-        return key, ""
-    return key[:team_end], key[team_end + 1 :]
