--- a/src/cactusshunt/tasks/entry/caller_api.py
+++ b/src/cactusshunt/tasks/entry/caller_api.py
@@ -36,7 +36,7 @@
     from cactusshunt.tasks.entry.model_requests import ModelRequests
     from cactusshunt.tasks.entry.once_claims import Claim
     from cactusshunt.tasks.entry.once_claims import OnceClaims
-    from cactusshunt.tasks.entry.request_runner import RequestPlan
+    from cactusshunt.tasks.entry.request_plan import RequestPlan
     from cactusshunt.tasks.entry.request_runner import RequestRunner
     from cactusshunt.tasks.entry.service_requests import ServiceRequests
     from cactusshunt.tasks.metrics import Metrics
--- a/src/cactusshunt/tasks/entry/model_requests.py
+++ b/src/cactusshunt/tasks/entry/model_requests.py
@@ -21,7 +21,7 @@
 from cactusshunt.decisions.names import version_of_item
 from cactusshunt.schema.generated.settings import UpstreamKind
 from cactusshunt.tasks.entry import problems
-from cactusshunt.tasks.entry.request_runner import RequestPlan
+from cactusshunt.tasks.entry.request_plan import RequestPlan
 
 if TYPE_CHECKING:
     from cactusshunt.decisions.catalogue import Catalogue
@@ -79,16 +79,20 @@
         access = check_caller(self._catalogue.access, name.team, token)
         if access is not Access.ALLOWED:
             return Error(_PROBLEM_OF_ACCESS[access]())
-        return self._plan_for(caller, name, body.ok, now)
+        return self._plan_for(self._catalogue, caller, name, body.ok, now)
 
     def _plan_for(
-        self, caller: CallerRequest, name: ModelName, body: dict[str, Any], now: float
+        self,
+        catalogue: Catalogue,
+        caller: CallerRequest,
+        name: ModelName,
+        body: dict[str, Any],
+        now: float,
     ) -> Result[RequestPlan, Problem]:
-        assert self._catalogue is not None
-        item = self._catalogue.current_item(name.target)
+        item = catalogue.current_item(name.target)
         if item is None or not self._is_known_version(name, item.item):
             return Error(problems.unknown_model(str(body.get("model"))))
-        model = self._catalogue.models[name.target.partition(":")[0]]
+        model = catalogue.models[name.target.partition(":")[0]]
         streamed = body.get("stream") is True
         return Ok(
             RequestPlan(
--- a/src/cactusshunt/tasks/entry/request_runner.py
+++ b/src/cactusshunt/tasks/entry/request_runner.py
@@ -32,6 +32,7 @@
 from cactusshunt.tasks.entry.answer_body import BodyEnd
 from cactusshunt.tasks.entry.answer_body import EventStream
 from cactusshunt.tasks.entry.answer_body import WholeBody
+from cactusshunt.tasks.entry.request_plan import Completed
 from cactusshunt.tasks.entry.upstream_client import UpstreamCall
 from cactusshunt.tasks.entry.upstream_client import abort_response
 
@@ -43,10 +44,10 @@
     from twisted.web.client import Response
 
     from cactusshunt.schema.generated.messages import UpstreamState
-    from cactusshunt.schema.generated.settings import UpstreamKind
     from cactusshunt.tasks.entry.caller_request import CallerRequest
     from cactusshunt.tasks.entry.demand_counter import DemandCounter
     from cactusshunt.tasks.entry.dispatcher import Dispatcher
+    from cactusshunt.tasks.entry.request_plan import RequestPlan
     from cactusshunt.tasks.entry.upstream_client import UpstreamClient
     from cactusshunt.tasks.problem import Problem
 
@@ -66,40 +67,6 @@
 }
 
 
-@dataclass(frozen=True, kw_only=True)
-class RequestPlan:
-    """What a model's or a service's request needs of the runner.
-
-    ``make_body`` returns the body for one upstream, which may hold another version of the model.
-    """
-
-    team: str
-    target: str
-    item: str
-    priority: int
-    wait_deadline: float
-    repeatable: bool
-    path: str
-    headers: dict[str, str]
-    first_byte_s: float
-    candidates: Callable[[], Collection[str]]
-    item_at: Callable[[str], str]
-    make_body: Callable[[str], bytes]
-    kind_of: Callable[[str], UpstreamKind]
-    prefix: str | None = None
-    is_model: bool = True
-
-
-@dataclass(frozen=True, kw_only=True)
-class Completed:
-    """The end of a request that has an answer; ``body`` is empty for one that was not kept."""
-
-    status: int
-    content_type: str
-    body: bytes
-    whole: bool = True
-
-
 @dataclass(kw_only=True)
 class _Progress:
     """What the attempts of one request have come to."""
--- a/src/cactusshunt/tasks/entry/service_requests.py
+++ b/src/cactusshunt/tasks/entry/service_requests.py
@@ -14,7 +14,7 @@
 from cactusshunt.schema.generated.settings import UpstreamKind
 from cactusshunt.tasks.entry import problems
 from cactusshunt.tasks.entry.caller_request import HOP_HEADERS
-from cactusshunt.tasks.entry.request_runner import RequestPlan
+from cactusshunt.tasks.entry.request_plan import RequestPlan
 
 if TYPE_CHECKING:
     from cactusshunt.decisions.catalogue import Catalogue
