--- a/measure/replay/__main__.py
+++ b/measure/replay/__main__.py
@@ -63,28 +63,35 @@
         for kind in faults
         for policy in range(len(make_policies()))
     ]
+    rows = []
+    print_heading()
     with ProcessPoolExecutor(WORKERS) as pool:
-        rows = list(pool.map(run_one, *zip(*jobs, strict=True)))
+        for row in pool.map(run_one, *zip(*jobs, strict=True)):
+            print_row(row)
+            rows.append(row)
     OUTPUT.mkdir(parents=True, exist_ok=True)
     (OUTPUT / f"seed-{seed}.json").write_text(json.dumps(rows, indent=1), encoding="utf-8")
-    print_table(rows)
 
 
-def print_table(rows: list[Any]) -> None:
-    """Print one line for each replay."""
+def print_heading() -> None:
+    """Print the names of the columns."""
     print(
         f"{'deployment':10} {'trace':15} {'fault':13} {'policy':15} {'attained':>8} "
         f"{'per accel':>9} {'loads':>6} {'out of reach s':>14} {'refused':>8} {'late':>7}"
         f" {'lost':>6}"
     )
-    for row in rows:
-        share = row["attained"] / max(1, row["requests"])
-        print(
-            f"{row['deployment']:10} {row['trace']:15} {row['fault']:13} {row['policy']:15} "
-            f"{share:8.4f} {row['attained'] / row['engines']:9.0f} {row['loads']:6} "
-            f"{row['longest_out_of_reach_s']:14.0f} {row['refused']:8} {row['late']:7}"
-            f" {row['lost']:6}"
-        )
+
+
+def print_row(row: Any) -> None:
+    """Print one replay's line as soon as it is there."""
+    share = row["attained"] / max(1, row["requests"])
+    print(
+        f"{row['deployment']:10} {row['trace']:15} {row['fault']:13} {row['policy']:15} "
+        f"{share:8.4f} {row['attained'] / row['engines']:9.0f} {row['loads']:6} "
+        f"{row['longest_out_of_reach_s']:14.0f} {row['refused']:8} {row['late']:7}"
+        f" {row['lost']:6}",
+        flush=True,
+    )
 
 
 if __name__ == "__main__":
