Ask the catalogue what a kind of upstream guarantees

Cause: a last reading found the same look-up with its default in three places, a metric call that nothing uses, and a search through all items for each planned order's memory.

Ruled out: taking the kind from the plan's own catalogue at the entry (a request in flight would keep older settings); one table for the problems of callers and operators (alike in shape only).

Change: Catalogue.kind_of serves the planner and both kinds of requests; the memory of items is looked up in a table made once a pass; Metrics.set_gauge is gone.

Before and after: no behaviour changed. "make check" is clean; 13 scenarios of placement, routing, whole answers, the whole path and the lease's take-over pass. The full set was not run again.

--- a/src/cactusshunt/decisions/catalogue.py
+++ b/src/cactusshunt/decisions/catalogue.py
@@ -59,6 +59,10 @@
     objective: Objective = DEFAULT_OBJECTIVE
     administrators: tuple[Administrator, ...] = ()
 
+    def kind_of(self, kind: str) -> UpstreamKind:
+        """Return what the upstreams of a kind guarantee; nothing for an unknown kind."""
+        return self.upstream_kinds.get(kind, UpstreamKind())
+
     def current_item(self, target: str) -> Item | None:
         """Return the declared version of ``team/model[:adapter]``."""
         return self.items.get(target)
--- a/src/cactusshunt/decisions/placement_state.py
+++ b/src/cactusshunt/decisions/placement_state.py
@@ -26,6 +26,7 @@
         self.engines = {engine.name: engine for engine in state.engines}
         self.free = {engine.name: engine.free_mib() for engine in state.engines}
         self.orders: list[PlannedOrder] = []
+        self._memory_mib = {item.item: item.memory_mib for item in state.items.values()}
         self._busy = {engine.name for engine in state.engines if not engine.can_take_order}
         self._local: dict[str, list[str]] = defaultdict(list)
         self._coming: dict[str, list[str]] = defaultdict(list)
@@ -73,7 +74,7 @@
 
     def give(self, engine: EngineView, action: str, item: str, gain: float, reason: str) -> None:
         """Plan an order."""
-        memory_mib = self._memory_of(item) if action == "load" else 0
+        memory_mib = self._memory_mib.get(item, 0) if action == "load" else 0
         self._busy.add(engine.name)
         self.free[engine.name] -= memory_mib
         if action == "load":
@@ -105,12 +106,6 @@
         """Return the slot-seconds that a request for a target takes."""
         return self.input.service_s.get(target, DEFAULT_SERVICE_S)
 
-    def _memory_of(self, item: str) -> int:
-        for declared in self.input.items.values():
-            if declared.item == item:
-                return declared.memory_mib
-        return 0
-
     def _index(self) -> None:
         for engine in self.input.engines:
             if not engine.available:
--- a/src/cactusshunt/tasks/entry/model_requests.py
+++ b/src/cactusshunt/tasks/entry/model_requests.py
@@ -117,8 +117,7 @@
 
     def kind_of(self, kind: str) -> UpstreamKind:
         """Return what the upstreams of a kind guarantee; nothing for an unknown kind."""
-        known = self._catalogue.upstream_kinds if self._catalogue is not None else {}
-        return known.get(kind, UpstreamKind())
+        return self._catalogue.kind_of(kind) if self._catalogue is not None else UpstreamKind()
 
     def _is_known_version(self, name: ModelName, declared: str) -> bool:
         if name.version is None or version_of_item(declared) == name.version:
--- a/src/cactusshunt/tasks/entry/service_requests.py
+++ b/src/cactusshunt/tasks/entry/service_requests.py
@@ -77,8 +77,7 @@
         )
 
     def _kind_of(self, kind: str) -> UpstreamKind:
-        known = self._catalogue.upstream_kinds if self._catalogue is not None else {}
-        return known.get(kind, UpstreamKind())
+        return self._catalogue.kind_of(kind) if self._catalogue is not None else UpstreamKind()
 
 
 def _forwarded_headers(caller: CallerRequest) -> dict[str, str]:
--- a/src/cactusshunt/tasks/metrics.py
+++ b/src/cactusshunt/tasks/metrics.py
@@ -17,10 +17,6 @@
         """Add to a counter."""
         self._client.incr(name, amount)
 
-    def set_gauge(self, name: str, value: float) -> None:
-        """Set a gauge."""
-        self._client.gauge(name, value)
-
     def time(self, name: str, elapsed_s: float) -> None:
         """Record a time, sent in ms."""
         self._client.timing(name, elapsed_s * 1000.0)
--- a/src/cactusshunt/tasks/placement_task.py
+++ b/src/cactusshunt/tasks/placement_task.py
@@ -33,7 +33,6 @@
 from cactusshunt.exceptions import OrderRefusedError
 from cactusshunt.schema.generated.messages import ItemRate
 from cactusshunt.schema.generated.messages import Order
-from cactusshunt.schema.generated.settings import UpstreamKind
 from cactusshunt.tasks.control_messages import DemandReported
 from cactusshunt.tasks.control_messages import RatesExpected
 from cactusshunt.tasks.control_messages import SettingsAdopted
@@ -54,6 +53,7 @@
     from cactusshunt.schema.generated.messages import EngineReport
     from cactusshunt.schema.generated.messages import Vm
     from cactusshunt.schema.generated.process import ProcessSettings
+    from cactusshunt.schema.generated.settings import UpstreamKind
     from cactusshunt.tasks.lease_task import LeaseTask
     from cactusshunt.tasks.message_bus import MessageBus
     from cactusshunt.tasks.routing_task import RoutingTask
@@ -224,11 +224,10 @@
     async def _replace_lost(self) -> None:
         """Repeat orders that fence-checking engines did not take, under a higher fence."""
         now = self._reactor.seconds()
-        kinds = {vm.vm: vm.kind for vm in self._own_engines()}
         for engine, record in list(self._records.records.items()):
             pending = record.pending
             report = self._reports.get(engine)
-            if pending is None or report is None or not self._kind(kinds.get(engine)).checks_fence:
+            if pending is None or report is None or not self._kind_of(engine).checks_fence:
                 continue
             sent_at = pending.sent_before - ORDER_TIMEOUT_S
             if report.highest_fence >= pending.fence or now < sent_at + REPLACE_AFTER_S:
@@ -344,8 +343,7 @@
 
     def _make_order(self, record: EngineRecord, action: str, item: str, memory_mib: int) -> Order:
         now = self._reactor.seconds()
-        kinds = {vm.vm: vm.kind for vm in self._own_engines()}
-        limit_s = self._kind(kinds.get(record.engine)).order_arrival_limit_ms / 1000
+        limit_s = self._kind_of(record.engine).order_arrival_limit_ms / 1000
         sent_before = now + ORDER_TIMEOUT_S
         return Order(
             order_id=uuid.uuid4().hex,
@@ -357,8 +355,10 @@
             arrives_before=sent_before + limit_s,
         )
 
-    def _kind(self, name: str | None) -> UpstreamKind:
-        return self._catalogue.upstream_kinds.get(name or "", UpstreamKind())
+    def _kind_of(self, engine: str) -> UpstreamKind:
+        """Return what an engine guarantees; nothing for one that is not listed."""
+        kinds = {vm.vm: vm.kind for vm in self._own_engines()}
+        return self._catalogue.kind_of(kinds.get(engine, ""))
 
     async def _record_and_send(
         self, recorded: Result[EngineRecord, LedgerError], order: Order
