--- /dev/null
+++ b/deploy/node.py
@@ -0,0 +1,15 @@
+"""Starts the process of one VM on the users' platform from a checkout."""
+
+from __future__ import annotations
+
+import sys
+
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from cactusshunt.node import run_node
+from cactusshunt.platform.boot import find_settings_file
+
+if __name__ == "__main__":
+    sys.exit(run_node(find_settings_file()))
--- a/src/cactusshunt/exceptions.py
+++ b/src/cactusshunt/exceptions.py
@@ -47,6 +47,14 @@
     """A compare-and-swap met another version than the expected one."""
 
 
+class HistoryLostError(StoreError):
+    """The store no longer keeps the changes that were asked for."""
+
+
+class LeaseEndedError(StoreError):
+    """A lease has lapsed or was ended."""
+
+
 class LedgerError(CactusshuntError):
     """An order or report that the memory ledger cannot accept."""
 
--- /dev/null
+++ b/src/cactusshunt/http1/caller_connection.py
@@ -0,0 +1,267 @@
+"""One connection from a caller: reads requests one after the other and writes their answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Protocol as Interface
+
+import h11
+
+from twisted.internet.protocol import Protocol
+from twisted.internet.protocol import connectionDone
+
+from cactusshunt.http1.sockets import tune_socket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.base import ReactorBase
+    from twisted.internet.interfaces import IDelayedCall
+    from twisted.python.failure import Failure
+
+Headers = list[tuple[bytes, bytes]]
+CALLER_USER_TIMEOUT_MS = 5000  # a phone's link may stall for seconds
+
+
+@dataclass(frozen=True, kw_only=True)
+class ReceivedRequest:
+    """A whole request, as it came; ``arrived_at`` is the time of its first byte (steady clock)."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    arrived_at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class ReadingLimits:
+    """What a caller may send (bytes), and the longest waits (seconds)."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class RequestHandler(Interface):
+    """Answers requests, and is told when their caller is gone."""
+
+    def handle(self, request: ReceivedRequest, connection: CallerConnection) -> None:
+        """Answer a request through the connection."""
+
+    def limits(self) -> ReadingLimits:
+        """Return the limits in force."""
+
+    def stopping(self) -> bool:
+        """Tell whether this process is about to end."""
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Note a new connection."""
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Note the end of a connection."""
+
+
+class CallerConnection(Protocol):
+    """Speaks HTTP/1.1 with one caller."""
+
+    def __init__(self, *, reactor: ReactorBase, handler: RequestHandler) -> None:
+        self._reactor = reactor
+        self._handler = handler
+        limits = handler.limits()
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self._limits = limits
+        self._request: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._arrived_at = 0.0
+        self._timer: IDelayedCall | None = None
+        self._lost = False
+        self._chunked = False
+        self.on_gone: Callable[[], None] | None = None
+        self.busy = False
+        self.last_answer_at = 0.0
+
+    @property
+    def gone(self) -> bool:
+        """Tell whether the caller has closed the connection."""
+        return self._lost
+
+    @property
+    def reading(self) -> bool:
+        """Tell whether a part of a request has arrived."""
+        return self._request is not None or bool(self._arrived_at and not self.busy)
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Wait for the first request."""
+        tune_socket(self.transport, user_timeout_ms=CALLER_USER_TIMEOUT_MS)
+        self._handler.opened(self)
+        self._wait(self._limits.idle_timeout_s)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse what came."""
+        if not self._arrived_at and not self.busy:
+            self._arrived_at = self._reactor.seconds()
+            self._wait(self._limits.header_timeout_s, self._time_out_request)
+        try:
+            self._http.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Tell the request in progress that its caller is gone."""
+        self._lost = True
+        self._stop_timer()
+        self._handler.closed(self)
+        on_gone, self.on_gone = self.on_gone, None
+        if on_gone is not None:
+            on_gone()
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a whole answer."""
+        if self._lost:
+            return
+        framed = [*headers, (b"Content-Length", str(len(body)).encode())]
+        self._send_head(status, framed)
+        self._send(h11.Data(data=body))
+        self.finish()
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Write the head of an answer whose length is not known yet."""
+        self._chunked = True
+        self._send_head(status, [*headers, (b"Transfer-Encoding", b"chunked")])
+
+    def write(self, data: bytes) -> None:
+        """Write a part of the body."""
+        self._send(h11.Data(data=data))
+
+    def finish(self) -> None:
+        """End the answer and wait for the next request."""
+        if self._lost:
+            return
+        self._send(h11.EndOfMessage())
+        self.on_gone = None
+        self.busy = False
+        self.last_answer_at = self._reactor.seconds()
+        if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+            self._close()
+            return
+        self._http.start_next_cycle()
+        self._wait(self._limits.idle_timeout_s)
+        try:
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint)
+
+    def break_off(self) -> None:
+        """End the connection so that the answer does not look complete."""
+        self.on_gone = None
+        self.busy = False
+        transport: Any = self.transport
+        if not self._lost:
+            transport.abortConnection()
+
+    def close_idle(self) -> None:
+        """Close the connection if no request is being read or answered."""
+        if not self.busy and not self.reading:
+            self._close()
+
+    def _read_events(self) -> None:
+        while not self.busy and not self._lost:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                if self._http.they_are_waiting_for_100_continue:
+                    self._send(h11.InformationalResponse(status_code=100, headers=[]))
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                return
+            if isinstance(event, h11.Request):
+                if not self._accept_head(event):
+                    return
+            elif isinstance(event, h11.Data):
+                self._body_bytes += len(event.data)
+                if self._body_bytes > self._limits.body_bytes:
+                    self._reject(413)
+                    return
+                self._body.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._dispatch()
+
+    def _accept_head(self, event: h11.Request) -> bool:
+        if not self._arrived_at:
+            self._arrived_at = self._reactor.seconds()
+        self._request = event
+        self._body = []
+        self._body_bytes = 0
+        names = [name for name, _ in event.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            self._reject(400)
+            return False
+        for name, value in event.headers:
+            too_long = value.isdigit() and int(value) > self._limits.body_bytes
+            if name == b"content-length" and too_long:
+                self._reject(413)
+                return False
+        return True
+
+    def _dispatch(self) -> None:
+        assert self._request is not None
+        request = ReceivedRequest(
+            method=self._request.method,
+            target=self._request.target,
+            headers=self._request.headers.raw_items(),
+            body=b"".join(self._body),
+            arrived_at=self._arrived_at,
+        )
+        self._request = None
+        self._body = []
+        self._arrived_at = 0.0
+        self._stop_timer()
+        self.busy = True
+        self._handler.handle(request, self)
+
+    def _send_head(self, status: int, headers: Headers) -> None:
+        if self._handler.stopping():
+            headers = [*headers, (b"Connection", b"close")]
+        self._send(h11.Response(status_code=status, headers=headers))
+
+    def _send(self, event: Any) -> None:
+        if self._lost:
+            return
+        payload = self._http.send(event)
+        if payload:
+            transport: Any = self.transport
+            transport.write(payload)
+
+    def _reject(self, status: int) -> None:
+        """Answer a request that cannot be read, and close; its sender may be out of step."""
+        self._stop_timer()
+        if self._lost:
+            return
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            self._send(h11.Response(status_code=status, headers=headers))
+            self._send(h11.EndOfMessage())
+        self._close()
+
+    def _time_out_request(self) -> None:
+        self._reject(408)
+
+    def _close(self) -> None:
+        self._stop_timer()
+        transport: Any = self.transport
+        if not self._lost:
+            transport.loseConnection()
+
+    def _wait(self, seconds: float, end: Callable[[], None] | None = None) -> None:
+        self._stop_timer()
+        self._timer = self._reactor.callLater(seconds, end or self._close)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
--- /dev/null
+++ b/src/cactusshunt/http1/collected_answer.py
@@ -0,0 +1,76 @@
+"""A short answer that is read whole before it is used."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cactusshunt.exceptions import UpstreamBrokenError
+from cactusshunt.exceptions import UpstreamSilentError
+from cactusshunt.http1.upstream_connection import ExchangeEnd
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+
+    from cactusshunt.http1.connection_pool import Address
+    from cactusshunt.http1.connection_pool import ConnectionPool
+    from cactusshunt.http1.upstream_connection import Headers
+
+
+class CollectedAnswer:
+    """Receiver that keeps status, headers and body."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: Headers = []
+        self._parts: list[bytes] = []
+
+    @property
+    def body(self) -> bytes:
+        """Return the body so far."""
+        return b"".join(self._parts)
+
+    def begin(self, status: int, headers: Headers) -> bool:
+        """Take status and headers."""
+        self.status = status
+        self.headers = headers
+        return True
+
+    def add(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self._parts.append(data)
+
+
+async def call(
+    *,
+    reactor: ReactorBase,
+    pool: ConnectionPool,
+    address: Address,
+    method: bytes,
+    target: bytes,
+    headers: Headers,
+    body: bytes = b"",
+    deadline: float,
+) -> CollectedAnswer:
+    """Make one call and return its answer.
+
+    Raises ``UpstreamNotReachedError`` if no byte left, ``UpstreamSilentError`` at the deadline and
+    ``UpstreamBrokenError`` if the answer did not come whole; after these two the call may have
+    taken effect.
+    """
+    connection = await pool.acquire(address)
+    answer = CollectedAnswer()
+    framed = [(b"Host", f"{address[0]}:{address[1]}".encode()), *headers]
+    if body or method == b"POST":
+        framed.append((b"Content-Length", str(len(body)).encode()))
+    ended = connection.exchange(method, target, framed, body, answer)
+    left = max(0.0, deadline - reactor.seconds())
+    timer = reactor.callLater(left, connection.cancel)  # type: ignore[attr-defined]
+    end = await ended
+    if timer.active():
+        timer.cancel()
+    pool.release(address, connection)
+    if end is ExchangeEnd.WHOLE:
+        return answer
+    if end is ExchangeEnd.CANCELLED:
+        raise UpstreamSilentError(reason="No answer in time.", remedy="Its outcome is unknown.")
+    raise UpstreamBrokenError(reason=f"{end.value}.", remedy="Its outcome is unknown.")
--- /dev/null
+++ b/src/cactusshunt/membership/membership_task.py
@@ -0,0 +1,242 @@
+"""Registers this VM in the store and runs for the right to give orders, over one lease."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import time
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from twisted.internet.defer import Deferred
+
+from cactusshunt.decisions.rendezvous import rank_nodes
+from cactusshunt.exceptions import CompareFailedError
+from cactusshunt.exceptions import LeaseEndedError
+from cactusshunt.exceptions import StoreError
+from cactusshunt.membership.peer_link import PeerRecord
+from cactusshunt.membership.tenure import RENEWAL_PART
+from cactusshunt.membership.tenure import Tenure
+from cactusshunt.membership.tenure import begin_tenure
+from cactusshunt.membership.tenure import election_delay_s
+from cactusshunt.membership.tenure import extend_tenure
+from cactusshunt.node_log import log_event
+from cactusshunt.platform.documents import OWN_PREFIX
+from cactusshunt.platform.store import ABSENT
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.base import ReactorBase
+
+    from cactusshunt.membership.peer_link import PeerLink
+    from cactusshunt.platform.store import PlatformStore
+    from cactusshunt.platform.store import StoredItem
+
+VM_PREFIX = OWN_PREFIX + "vm/"
+HOLDER_KEY = OWN_PREFIX + "holder"
+LAST_HOLDER_KEY = OWN_PREFIX + "last-holder"
+LEASE_S = 1.6  # two lost renewals of a quarter each leave a quarter to stop in
+CALL_TIMEOUT_S = 0.5
+SLEEP_TOLERANCE_S = 0.25  # of a VM's suspension, above which its right counts as lapsed
+
+
+class MembershipTask:
+    """Owns the lease; tells others through the store's view who takes part and who orders."""
+
+    def __init__(
+        self,
+        *,
+        reactor: ReactorBase,
+        store: PlatformStore,
+        link: PeerLink,
+        vm: str,
+        record: PeerRecord,
+        lease_s: float,
+        turn_s: float,
+        on_elected: Callable[[], None],
+    ) -> None:
+        self._reactor = reactor
+        self._store = store
+        self._link = link
+        self._vm = vm
+        self._record = record
+        self._lease_s = lease_s
+        self._turn_s = turn_s
+        self._on_elected = on_elected
+        self._incarnation = secrets.token_hex(4)
+        self._lease = 0
+        self._renewed_at = 0.0
+        self._registered = False
+        self._holder: tuple[str, int] | None = None
+        self._last_holders: list[tuple[int, str]] = []
+        self._vacant_since: float | None = None
+        self._synced = False
+        self._tenure = Tenure()
+        self._slept = _slept_s()
+        self._random = random.Random(vm)
+        self.stopping = False
+
+    @property
+    def tenure(self) -> Tenure:
+        """Return this VM's right to order; none after the VM slept."""
+        if _slept_s() - self._slept > SLEEP_TOLERANCE_S:
+            self._slept = _slept_s()
+            if self._tenure.elected:
+                log_event("right_lost", reason="the VM was suspended")
+            self._tenure = Tenure()
+        return self._tenure
+
+    @property
+    def holder(self) -> str | None:
+        """Return the VM that may give orders, as far as the store's view tells."""
+        return self._holder[0].partition("/")[0] if self._holder else None
+
+    def note_synced(self) -> None:
+        """Note that the view is complete, so that a missing holder means a vacancy."""
+        if not self._synced:
+            self._synced = True
+            if self._holder is None:
+                self._vacant_since = self._now()
+
+    def take_item(self, item: StoredItem) -> None:
+        """Take a change of the keys below this system's prefix."""
+        if item.key == HOLDER_KEY:
+            self._take_holder(item)
+        elif item.key == LAST_HOLDER_KEY:
+            name = (item.value or b"").decode(errors="replace")
+            self._last_holders = [*self._last_holders[-1:], (item.revision, name)]
+        elif item.key.startswith(VM_PREFIX):
+            self._take_vm(item)
+
+    async def run(self) -> None:
+        """Keep the lease, the record and, where it falls to this VM, the right to order."""
+        while not self.stopping:
+            try:
+                await self._step()
+            except LeaseEndedError:
+                self._drop_lease("lease ended")
+            except CompareFailedError:
+                self._vacant_since = self._now()
+            except StoreError as error:
+                if self._registered:
+                    log_event("renewal_failed", reason=error.reason)
+            await self._pause(self._lease_s * RENEWAL_PART * self._random.uniform(0.85, 1.0))
+
+    async def leave(self) -> None:
+        """Give up the right and the record; the lease's keys go with it."""
+        self.stopping = True
+        self._tenure = Tenure()
+        if self._lease:
+            try:
+                await self._store.end_lease(self._lease, deadline=self._now() + CALL_TIMEOUT_S)
+            except StoreError as error:
+                log_event("lease_not_ended", reason=error.reason)
+
+    async def _step(self) -> None:
+        sent = self._now()
+        deadline = sent + CALL_TIMEOUT_S
+        if not self._lease:
+            self._lease = await self._store.grant_lease(ttl_s=self._lease_s, deadline=deadline)
+            self._renewed_at = sent
+            self._registered = False
+        else:
+            await self._store.renew_lease(self._lease, deadline=deadline)
+            self._renewed_at = sent
+            if self.tenure.elected:
+                self._tenure = extend_tenure(self._tenure, renewed_at=sent, lease_s=self._lease_s)
+        if not self._registered:
+            await self._store.commit(
+                expected={},
+                puts={VM_PREFIX + self._vm: msgspec.json.encode(self._record)},
+                lease=self._lease,
+                deadline=self._now() + CALL_TIMEOUT_S,
+            )
+            self._registered = True
+        await self._run_for_holder()
+
+    async def _run_for_holder(self) -> None:
+        if not self._synced or self._holder is not None or self._vacant_since is None:
+            return
+        names = rank_nodes([self._vm, *self._link.peers], "holder")
+        delay = election_delay_s(names.index(self._vm), self._lease_s)
+        if self._now() < self._vacant_since + delay:
+            return
+        value = f"{self._vm}/{self._incarnation}".encode()
+        await self._store.commit(
+            expected={HOLDER_KEY: ABSENT},
+            puts={HOLDER_KEY: value},
+            unleased={LAST_HOLDER_KEY: self._vm.encode()},
+            lease=self._lease,
+            deadline=self._now() + CALL_TIMEOUT_S,
+        )
+
+    def _take_holder(self, item: StoredItem) -> None:
+        now = self._now()
+        if item.value is None:
+            if self._tenure.elected:
+                log_event("right_lost", reason="the store removed the holder's key")
+            self._holder = None
+            self._vacant_since = now
+            self._tenure = Tenure()
+            return
+        name = item.value.decode(errors="replace")
+        self._holder = (name, item.revision)
+        self._vacant_since = None
+        if name != f"{self._vm}/{self._incarnation}":
+            self._tenure = Tenure()
+            return
+        if self._tenure.token == item.revision:
+            return
+        before = [name for revision, name in self._last_holders if revision < item.revision]
+        fresh = not before or before[-1] == self._vm
+        self._tenure = begin_tenure(
+            token=item.revision,
+            now=now,
+            renewed_at=self._renewed_at,
+            lease_s=self._lease_s,
+            turn_s=self._turn_s,
+            fresh=fresh,
+        )
+        log_event(
+            "right_won", token=item.revision, fresh=fresh, waits_s=self._tenure.begins_at - now
+        )
+        self._on_elected()
+
+    def _take_vm(self, item: StoredItem) -> None:
+        vm = item.key.removeprefix(VM_PREFIX)
+        if item.value is None:
+            if vm == self._vm and not self.stopping:
+                self._registered = False
+            self._link.set_peer(vm, None)
+            return
+        try:
+            record = msgspec.json.decode(item.value, type=PeerRecord)
+        except msgspec.DecodeError:
+            log_event("record_unreadable", key=item.key)
+            return
+        self._link.set_peer(vm, record)
+
+    def _drop_lease(self, reason: str) -> None:
+        if self._tenure.elected:
+            log_event("right_lost", reason=reason)
+        self._lease = 0
+        self._registered = False
+        self._tenure = Tenure()
+
+    def _now(self) -> float:
+        return self._reactor.seconds()  # type: ignore[attr-defined,no-any-return]
+
+    def _pause(self, seconds: float) -> Deferred[None]:
+        paused: Deferred[None] = Deferred()
+        reactor: Any = self._reactor
+        reactor.callLater(seconds, paused.callback, None)
+        return paused
+
+
+def _slept_s() -> float:
+    """Return how long the VM has been suspended since its start."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.clock_gettime(time.CLOCK_MONOTONIC)
--- /dev/null
+++ b/src/cactusshunt/membership/messages.py
@@ -0,0 +1,80 @@
+"""Datagrams between VMs, MessagePack by msgspec."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class EngineWork(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One VM's unfinished work at one upstream.
+
+    ``pending`` counts uncached prompt tokens that wait for their first token, by priority;
+    ``running`` counts requests.
+    """
+
+    upstream: str
+    running: int
+    pending: dict[int, int] = {}
+
+
+class ItemDemand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What callers ask of one model or ``model/adapter``: tokens per ms, and who waits for it."""
+
+    service: str
+    item: str
+    tokens_per_ms: float
+    waiting: int
+
+
+class Status(msgspec.Struct, frozen=True, kw_only=True, tag="s", array_like=True):
+    """What one VM tells the others of its work several times a second."""
+
+    vm: str
+    sent: int
+    work: list[EngineWork]
+
+
+class DemandWord(msgspec.Struct, frozen=True, kw_only=True, tag="d", array_like=True):
+    """What one VM tells the order holder of its callers' demand."""
+
+    vm: str
+    items: list[ItemDemand]
+
+
+class Holdings(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Models and adapters of one engine after ``sequence`` accepted orders.
+
+    ``coming`` maps items under way to the ms until they are expected.
+    """
+
+    upstream: str
+    born: int
+    sequence: int
+    models: dict[str, list[str]]
+    coming: dict[str, int]
+
+
+class PlacementNews(msgspec.Struct, frozen=True, kw_only=True, tag="p", array_like=True):
+    """What the holder of the right to order knows of engines; ``token`` orders holders."""
+
+    vm: str
+    token: int
+    engines: list[Holdings]
+
+
+Message = Status | DemandWord | PlacementNews
+_decoder = msgspec.msgpack.Decoder(Message)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the bytes of one datagram."""
+    return _encoder.encode(message)
+
+
+def decode_message(data: bytes) -> Message | None:
+    """Return the message, or ``None`` for bytes that are none."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/src/cactusshunt/membership/peer_link.py
@@ -0,0 +1,82 @@
+"""Datagrams to and from the other VMs; losing any of them is harmless."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from twisted.internet.protocol import DatagramProtocol
+
+from cactusshunt.membership.messages import decode_message
+from cactusshunt.membership.messages import encode_message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from cactusshunt.membership.messages import Message
+
+LARGEST_DATAGRAM_BYTES = 60_000  # below the limit of UDP over IPv4
+
+
+class PeerRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """What a VM writes about itself into the store, under a lease."""
+
+    address: str
+    port: int
+    availability_zone: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Peer:
+    """Another VM."""
+
+    vm: str
+    record: PeerRecord
+
+
+class PeerLink(DatagramProtocol):
+    """Sends to known peers and hands on what they send."""
+
+    def __init__(self, *, vm: str, receive: Callable[[Message], None]) -> None:
+        self._vm = vm
+        self._receive = receive
+        self._peers: dict[str, Peer] = {}
+
+    @property
+    def peers(self) -> dict[str, Peer]:
+        """Return the other VMs by name."""
+        return self._peers
+
+    def set_peer(self, vm: str, record: PeerRecord | None) -> None:
+        """Note a VM's record, or its end."""
+        if vm == self._vm:
+            return
+        if record is None:
+            self._peers.pop(vm, None)
+            return
+        self._peers[vm] = Peer(vm=vm, record=record)
+
+    def send(self, message: Message, recipients: Iterable[str]) -> None:
+        """Send one message to several VMs; a datagram that cannot leave is dropped."""
+        data = encode_message(message)
+        transport: Any = self.transport
+        if transport is None or len(data) > LARGEST_DATAGRAM_BYTES:
+            return
+        for vm in recipients:
+            peer = self._peers.get(vm)
+            if peer is None:
+                continue
+            try:
+                transport.write(data, (peer.record.address, peer.record.port))
+            except OSError:
+                continue
+
+    def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
+        """Hand on a message of a known VM; others may use the port."""
+        message = decode_message(datagram)
+        if message is not None and message.vm != self._vm:
+            self._receive(message)
--- /dev/null
+++ b/src/cactusshunt/membership/tenure.py
@@ -0,0 +1,57 @@
+"""Who may give orders to engines: pure rules of one holder at a time.
+
+Answers the load pattern "holders are killed, frozen, cut off or deprived of their lease at any
+moment": a holder stops by itself before anyone else may begin.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+VALIDITY_PART = 0.55  # of a lease: after it the holder stops, long before the lease can lapse
+RENEWAL_PART = 0.25  # of a lease between two renewals
+NO_TOKEN = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Tenure:
+    """One holder's right: its fencing token, and its first and last moment (steady clock)."""
+
+    token: int = NO_TOKEN
+    begins_at: float = 0.0
+    ends_at: float = 0.0
+
+    def holds(self, now: float) -> bool:
+        """Tell whether orders may be given."""
+        return self.token != NO_TOKEN and self.begins_at <= now < self.ends_at
+
+    @property
+    def elected(self) -> bool:
+        """Tell whether the right was won, also if it cannot be used yet."""
+        return self.token != NO_TOKEN
+
+
+def begin_tenure(
+    *, token: int, now: float, renewed_at: float, lease_s: float, turn_s: float, fresh: bool
+) -> Tenure:
+    """Return the right of a new holder.
+
+    It begins after the former holder's last possible order plus ``turn_s``, unless there was no
+    other holder (``fresh``).
+    """
+    wait = 0.0 if fresh else turn_s + VALIDITY_PART * lease_s
+    return Tenure(token=token, begins_at=now + wait, ends_at=renewed_at + VALIDITY_PART * lease_s)
+
+
+def extend_tenure(tenure: Tenure, *, renewed_at: float, lease_s: float) -> Tenure:
+    """Return the right after a renewal that was sent at ``renewed_at`` and confirmed."""
+    return Tenure(
+        token=tenure.token,
+        begins_at=tenure.begins_at,
+        ends_at=max(tenure.ends_at, renewed_at + VALIDITY_PART * lease_s),
+    )
+
+
+def election_delay_s(rank: int, lease_s: float) -> float:
+    """Return how long a VM of a rank waits before it runs for the right."""
+    return 0.02 + rank * 0.2 * lease_s
--- /dev/null
+++ b/src/cactusshunt/node.py
@@ -0,0 +1,366 @@
+"""The one process of a VM on the users' platform: all tasks, joined."""
+
+from __future__ import annotations
+
+import signal
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.internet.protocol import Factory
+from twisted.internet.task import LoopingCall
+
+from cactusshunt.configuration.platform_view import PlatformView
+from cactusshunt.exceptions import SettingsError
+from cactusshunt.http1.caller_connection import CallerConnection
+from cactusshunt.http1.connection_pool import ConnectionPool
+from cactusshunt.membership.membership_task import LEASE_S
+from cactusshunt.membership.membership_task import MembershipTask
+from cactusshunt.membership.messages import DemandWord
+from cactusshunt.membership.messages import EngineWork
+from cactusshunt.membership.messages import ItemDemand
+from cactusshunt.membership.messages import PlacementNews
+from cactusshunt.membership.messages import Status
+from cactusshunt.membership.peer_link import PeerLink
+from cactusshunt.membership.peer_link import PeerRecord
+from cactusshunt.node_log import flush_log
+from cactusshunt.node_log import log_event
+from cactusshunt.node_log import set_log_vm
+from cactusshunt.placement.demand_meter import DemandMeter
+from cactusshunt.placement.order_task import OrderTask
+from cactusshunt.platform import documents
+from cactusshunt.platform.boot import read_boot_settings
+from cactusshunt.platform.boot import split_address
+from cactusshunt.platform.engine_calls import EngineCalls
+from cactusshunt.platform.store import PlatformStore
+from cactusshunt.ready_page import ReadyPage
+from cactusshunt.requests.caller_requests import CallerRequests
+from cactusshunt.requests.relay import Relay
+from cactusshunt.requests.retry_allowance import RetryAllowance
+from cactusshunt.requests.upstream_picker import UpstreamPicker
+from cactusshunt.routing.directory import Directory
+from cactusshunt.tasks.periodic import start_coroutine
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from cactusshunt.membership.messages import Message
+    from cactusshunt.platform.boot import BootSettings
+    from cactusshunt.platform.store import StoredItem
+
+CONNECT_TIMEOUT_S = 0.3  # a hundred times a connection's usual set-up between zones
+STORE_CONNECT_TIMEOUT_S = 0.5
+ORDER_TICK_S = 0.05
+STATUS_S = 0.2  # a prompt's prefill takes about half of it
+DEMAND_S = 0.4  # placement follows demand that moves within seconds
+MANY_VMS = 16  # above it work is told in the own zone only
+HURRY_S = 0.01  # requests that begin to wait together are told in one datagram
+HOUSEKEEPING_S = 1.0
+LOG_FLUSH_S = 0.1
+STOP_SERVE_S = 2.6  # the balancer takes a VM out after two questions, one a second
+STOP_RESERVE_S = 0.4
+LISTEN_BACKLOG = 512
+
+
+class Node:
+    """Builds the tasks, joins them, and ends them."""
+
+    def __init__(self, *, reactor: Any, settings: BootSettings, settings_path: Path) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._settings_path = settings_path
+        self._settings_seen = self._settings_state()
+        bounds = settings.bounds
+        self._version = 0
+        self._sent = 0
+        self._hurried = False
+        self._told_work = False
+        self._stopping_since: float | None = None
+        self._pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
+        self._order_pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
+        self._store = self._make_store()
+        self._lease_store = self._make_store()
+        self._link = PeerLink(vm=settings.node, receive=self._receive)
+        self._directory = Directory(drain_s=bounds.drain_ms / 1000.0, clock=reactor.seconds)
+        self._membership = MembershipTask(
+            reactor=reactor,
+            store=self._lease_store,
+            link=self._link,
+            vm=settings.node,
+            record=PeerRecord(
+                address=settings.ip,
+                port=settings.port_range[0],
+                availability_zone=settings.zone,
+            ),
+            lease_s=max(LEASE_S, settings.platform.ttl_min_ms / 1000.0),
+            turn_s=bounds.lease_ms / 1000.0,
+            on_elected=lambda: None,
+        )
+        self._orders = OrderTask(
+            reactor=reactor,
+            vm=settings.node,
+            directory=self._directory,
+            calls=EngineCalls(reactor=reactor, pool=self._order_pool),
+            tenure=lambda: self._membership.tenure,
+            publish=self._publish,
+        )
+        self._meter = DemandMeter()
+        self._allowance = RetryAllowance(
+            ratio=bounds.retry_budget_ratio,
+            window_s=bounds.budget_window_s,
+            spare=bounds.budget_min_retries,
+            started_at=reactor.seconds(),
+        )
+        self._picker = UpstreamPicker(
+            reactor=reactor,
+            directory=self._directory,
+            meter=self._meter,
+            availability_zone=settings.zone,
+            hurry=self._hurry,
+        )
+        self._directory.on_change = self._picker.wake
+        self._directory.on_gone = lambda upstream: self._pool.forget(upstream.address)
+        relay = Relay(
+            reactor=reactor,
+            pool=self._pool,
+            directory=self._directory,
+            picker=self._picker,
+            allowance=self._allowance,
+        )
+        self._callers = CallerRequests(reactor=reactor, relay=relay, meter=self._meter)
+        self._view = PlatformView(
+            reactor=reactor,
+            store=self._store,
+            listener=self,
+            config_bound_s=bounds.config_ms / 1000.0,
+        )
+
+    def start(self) -> None:
+        """Listen and begin to follow the store."""
+        settings = self._settings
+        log_event("start", version=self._version, zone=settings.zone)
+        self._listen(settings.listen.front, self._callers)
+        page = ReadyPage(is_ready=self.is_ready, dump=self.dump)
+        self._listen(settings.listen.ready, page)
+        self._reactor.listenUDP(settings.port_range[0], self._link, interface=settings.ip)
+        start_coroutine(self._view.run())
+        start_coroutine(self._membership.run())
+        self._repeat(ORDER_TICK_S, self._orders.tick)
+        self._repeat(STATUS_S, self._send_status)
+        self._repeat(DEMAND_S, self._send_demand)
+        self._repeat(HOUSEKEEPING_S, self._keep_house)
+        self._repeat(LOG_FLUSH_S, flush_log)
+
+    def is_ready(self) -> bool:
+        """Tell whether new callers should come here."""
+        return self._version > 0 and self._stopping_since is None
+
+    def stop(self) -> None:
+        """End gracefully: no new callers, then no open request."""
+        if self._stopping_since is not None:
+            return
+        self._stopping_since = self._now()
+        self._callers.stop_requested = True
+        log_event("stop", in_flight=self._callers.in_flight)
+        start_coroutine(self._membership.leave())
+        self._repeat(0.05, self._try_to_end)
+
+    def item_changed(self, item: StoredItem) -> None:
+        """Take a change in the store."""
+        if item.key == documents.CONFIGURATION_KEY:
+            self._take_configuration(item)
+        elif item.key.startswith(documents.ENGINES_PREFIX):
+            self._directory.take_item(item)
+        elif item.key.startswith(documents.OWN_PREFIX):
+            self._membership.take_item(item)
+            self._allowance.set_vms(1 + len(self._link.peers))
+
+    def store_answered(self) -> None:
+        """Note that the view of the store is complete."""
+        self._membership.note_synced()
+
+    def reload(self) -> None:
+        """Read the settings file again; addresses in use stay until the next start."""
+        self._settings_seen = self._settings_state()
+        try:
+            self._settings = read_boot_settings(self._settings_path)
+        except SettingsError as error:
+            log_event("settings_rejected", reason=error.reason)
+            return
+        log_event("settings_reloaded")
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of the process, bounded in size."""
+        now = self._now()
+        return {
+            "vm": self._settings.node,
+            "configuration_version": self._version,
+            "stopping": self._stopping_since is not None,
+            "in_flight": self._callers.in_flight,
+            "caller_connections": len(self._callers.connections),
+            "order_holder": self._membership.holder,
+            "orders_given": self._orders.orders_given,
+            "peers": sorted(self._link.peers)[:200],
+            "upstreams": [
+                {
+                    "name": found.name,
+                    "service": found.entry.service,
+                    "state": found.entry.state,
+                    "running": found.running,
+                    "tokens_per_ms": round(found.rate, 2),
+                    "failure_share": round(found.suspicion.share, 2),
+                    "resting": found.suspicion.resting(now),
+                    "models": sorted(found.held.models),
+                    "orders": found.held.order[1],
+                }
+                for found in self._directory.all()[:200]
+            ],
+        }
+
+    def _make_store(self) -> PlatformStore:
+        pool = ConnectionPool(reactor=self._reactor, connect_timeout_s=STORE_CONNECT_TIMEOUT_S)
+        address = split_address(self._settings.platform.address)
+        return PlatformStore(reactor=self._reactor, address=address, pool=pool)
+
+    def _listen(self, address: str, handler: Any) -> None:
+        host, port = split_address(address)
+        factory = Factory()
+        factory.noisy = False
+        factory.buildProtocol = lambda addr: CallerConnection(  # type: ignore[method-assign,assignment]
+            reactor=self._reactor, handler=handler
+        )
+        self._reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
+
+    def _take_configuration(self, item: StoredItem) -> None:
+        if item.value is None:
+            return
+        try:
+            configuration = documents.decode_configuration(item.value)
+        except SettingsError as error:
+            log_event("configuration_rejected", reason=error.reason)
+            return
+        if configuration.version <= self._version:
+            return
+        self._version = configuration.version
+        self._callers.set_configuration(configuration)
+        self._orders.set_configuration(configuration)
+        log_event("configuration", version=configuration.version, routes=len(configuration.routes))
+
+    def _receive(self, message: Message) -> None:
+        now = self._now()
+        if isinstance(message, Status):
+            self._directory.take_status(message)
+            return
+        if isinstance(message, DemandWord):
+            self._orders.board.take(message.vm, message.items, now)
+            return
+        for holdings in message.engines:
+            self._directory.take_holdings(holdings, message.token)
+
+    def _publish(self, news: PlacementNews) -> None:
+        self._link.send(news, list(self._link.peers))
+
+    def _hurry(self) -> None:
+        """Tell the order holder soon that requests wait."""
+        if not self._hurried:
+            self._hurried = True
+            self._reactor.callLater(HURRY_S, self._send_hurried)
+
+    def _send_status(self) -> None:
+        """Tell peers about this VM's work at upstreams."""
+        self._sent += 1
+        work = [
+            EngineWork(upstream=found.name, running=found.running, pending=found.own_pending())
+            for found in self._directory.all()
+            if found.running
+        ]
+        if not work and not self._told_work:
+            return
+        self._told_work = bool(work)
+        self._link.send(Status(vm=self._settings.node, sent=self._sent, work=work), self._near())
+
+    def _send_demand(self) -> None:
+        """Tell the order holder what callers ask for."""
+        now = self._now()
+        demand = [
+            ItemDemand(service=service, item=item, tokens_per_ms=round(rate, 4), waiting=waiting)
+            for (service, item), (rate, waiting) in self._meter.read(now).items()
+        ]
+        message = DemandWord(vm=self._settings.node, items=demand)
+        self._orders.board.take(message.vm, message.items, now)
+        holder = self._membership.holder
+        if holder is not None:
+            self._link.send(message, [holder])
+
+    def _send_hurried(self) -> None:
+        self._hurried = False
+        self._send_demand()
+        self._orders.tick()
+
+    def _near(self) -> list[str]:
+        """Return the VMs that are told of this VM's work."""
+        peers = self._link.peers
+        if len(peers) < MANY_VMS:
+            return list(peers)
+        zone = self._settings.zone
+        return [vm for vm, peer in peers.items() if peer.record.availability_zone == zone]
+
+    def _keep_house(self) -> None:
+        self._pool.close_expired()
+        self._order_pool.close_expired()
+        if self._settings_state() != self._settings_seen:
+            self.reload()
+
+    def _settings_state(self) -> tuple[int, int]:
+        try:
+            found = self._settings_path.stat()
+        except OSError:
+            return (0, 0)
+        return (found.st_mtime_ns, found.st_size)
+
+    def _try_to_end(self) -> None:
+        assert self._stopping_since is not None
+        since = self._now() - self._stopping_since
+        if since < STOP_SERVE_S:
+            return
+        self._callers.close_idle()
+        over = since >= self._settings.bounds.grace_s - STOP_RESERVE_S
+        if over or (not self._callers.in_flight and not self._callers.connections):
+            log_event("end", in_flight=self._callers.in_flight)
+            flush_log()
+            if self._reactor.running:
+                self._reactor.stop()
+
+    def _repeat(self, seconds: float, run: Any) -> None:
+        loop = LoopingCall(run)
+        loop.clock = self._reactor
+        loop.start(seconds, now=False).addErrback(self._log_failure, run, seconds)
+
+    def _log_failure(self, failure: Any, run: Any, seconds: float) -> None:
+        log_event("task_failed", reason=failure.getTraceback()[-1500:])
+        self._reactor.callLater(seconds, self._repeat, seconds, run)
+
+    def _now(self) -> float:
+        return self._reactor.seconds()  # type: ignore[no-any-return]
+
+
+def run_node(path: Path) -> int:
+    """Run the process until it is told to stop; returns its exit status."""
+    from twisted.internet import reactor as installed_reactor
+
+    reactor: Any = installed_reactor
+    try:
+        settings = read_boot_settings(path)
+    except SettingsError as error:
+        set_log_vm("")
+        log_event("settings_rejected", reason=str(error))
+        flush_log()
+        return 2
+    set_log_vm(settings.node)
+    node = Node(reactor=reactor, settings=settings, settings_path=path)
+    reactor.callWhenRunning(node.start)
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(node.stop))
+    signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(node.stop))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reload))
+    reactor.run(installSignalHandlers=False)
+    return 0
--- /dev/null
+++ b/src/cactusshunt/node_log.py
@@ -0,0 +1,77 @@
+"""Log of decisions as JSON lines on standard output, bounded by kind, never blocking."""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+
+from typing import Any
+
+import msgspec
+
+LINES_PER_KIND = 40  # in one window; the rest is counted
+WINDOW_S = 1.0
+BUFFER_BYTES = 262_144  # lines that a slow reader has not taken; further ones are counted
+
+
+class EventLog:
+    """Writes one line for each event, fewer when they come in floods."""
+
+    def __init__(self) -> None:
+        self._vm = ""
+        self._buffer: list[bytes] = []
+        self._size = 0
+        self._counts: dict[str, int] = {}
+        self._window_ends = 0.0
+        self._left_out: dict[str, int] = {}
+        self._prepared = False
+
+    def set_vm(self, vm: str) -> None:
+        """Name the VM that the lines come from, and stop blocking on a slow reader."""
+        self._vm = vm
+        if not self._prepared:
+            os.set_blocking(sys.stdout.fileno(), False)
+            self._prepared = True
+
+    def write(self, kind: str, fields: dict[str, Any]) -> None:
+        """Add a line, or count it as left out."""
+        now = time.monotonic()
+        if now >= self._window_ends:
+            self._window_ends = now + WINDOW_S
+            self._counts.clear()
+        count = self._counts.get(kind, 0) + 1
+        self._counts[kind] = count
+        if count > LINES_PER_KIND or self._size > BUFFER_BYTES:
+            self._left_out[kind] = self._left_out.get(kind, 0) + 1
+            return
+        line: dict[str, Any] = {"at": round(now, 3), "vm": self._vm, "event": kind, **fields}
+        left_out = self._left_out.pop(kind, 0)
+        if left_out:
+            line["left_out_before"] = left_out
+        data = msgspec.json.encode(line) + b"\n"
+        self._buffer.append(data)
+        self._size += len(data)
+
+    def flush(self) -> None:
+        """Hand over what the reader takes without waiting."""
+        if not self._buffer:
+            return
+        data = b"".join(self._buffer)
+        try:
+            written = os.write(sys.stdout.fileno(), data)
+        except OSError:
+            written = 0
+        rest = data[written:]
+        self._buffer = [rest] if rest else []
+        self._size = len(rest)
+
+
+_log = EventLog()
+set_log_vm = _log.set_vm
+flush_log = _log.flush
+
+
+def log_event(kind: str, **fields: Any) -> None:
+    """Write one event of the process's log."""
+    _log.write(kind, fields)
--- /dev/null
+++ b/src/cactusshunt/placement/__init__.py
@@ -0,0 +1,3 @@
+"""Which engine holds which model, and the orders that change it."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusshunt/placement/adapter_plan.py
@@ -0,0 +1,90 @@
+"""Which adapters each engine takes or drops next.
+
+Answers the load pattern "many adapters of few models, each asked for now and then": an adapter
+takes milliseconds to load, places for adapters are few.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cactusshunt.placement.fleet_state import Demand
+from cactusshunt.placement.fleet_state import PlannedOrder
+
+if TYPE_CHECKING:
+    from cactusshunt.placement.fleet_state import EngineState
+    from cactusshunt.placement.fleet_state import FleetState
+
+REPLICA_TOKENS_PER_MS = 3.0  # demand that one replica of an adapter should take
+
+
+def plan_adapters(state: FleetState, taken: frozenset[str]) -> list[PlannedOrder]:
+    """Return adapter orders, one for each engine that has no other order (``taken``) yet."""
+    engines = {
+        engine.name: engine
+        for engine in state.engines
+        if engine.name not in taken and not engine.busy
+    }
+    orders = []
+    wanted = sorted(
+        state.adapter_demand.items(), key=lambda pair: (-pair[1].waiting, -pair[1].tokens_per_ms)
+    )
+    for (model, adapter), demand in wanted:
+        holders = sum(1 for engine in state.engines if adapter in engine.models.get(model, ()))
+        enough = 1 + int(demand.tokens_per_ms / REPLICA_TOKENS_PER_MS)
+        if holders >= enough or (holders and not demand.waiting and holders >= enough):
+            continue
+        hosts = [engine for engine in engines.values() if _lacks(engine, model, adapter)]
+        if not hosts:
+            continue
+        engine = min(hosts, key=lambda host: (_is_full(host), host.running, host.name))
+        order = _plan_one(state, engine, model, adapter)
+        if order is not None:
+            orders.append(order)
+            del engines[engine.name]
+    return orders
+
+
+def _lacks(engine: EngineState, model: str, adapter: str) -> bool:
+    return model in engine.models and adapter not in engine.models[model]
+
+
+def _is_full(engine: EngineState) -> bool:
+    return engine.adapter_count() >= engine.adapter_places
+
+
+def _plan_one(
+    state: FleetState, engine: EngineState, model: str, adapter: str
+) -> PlannedOrder | None:
+    fact = state.facts.get(model)
+    if fact is None or engine.adapter_places <= 0:
+        return None
+    free_mb = engine.capacity_mb - engine.used_mb(state.facts)
+    if not _is_full(engine) and free_mb >= fact.adapter_mb:
+        return PlannedOrder(
+            engine=engine.name,
+            load=True,
+            model=model,
+            adapter=adapter,
+            expected=engine.sequence,
+            reason="asked",
+        )
+    held = [(name, found) for name, adapters in engine.models.items() for found in adapters]
+    if not held:
+        return None
+    victim = min(held, key=lambda pair: _last_asked(state, pair))
+    victim_demand = state.adapter_demand.get(victim, Demand())
+    if victim_demand.waiting:
+        return None
+    return PlannedOrder(
+        engine=engine.name,
+        load=False,
+        model=victim[0],
+        adapter=victim[1],
+        expected=engine.sequence,
+        reason=f"room for {model}/{adapter}",
+    )
+
+
+def _last_asked(state: FleetState, pair: tuple[str, str]) -> float:
+    return state.adapter_demand.get(pair, Demand()).last_asked_at
--- /dev/null
+++ b/src/cactusshunt/placement/engine_ledger.py
@@ -0,0 +1,135 @@
+"""What the holder of the right to order knows of one engine, from its own orders and reports."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from cactusshunt.placement.fleet_state import EngineState
+
+if TYPE_CHECKING:
+    from cactusshunt.placement.fleet_state import PlannedOrder
+    from cactusshunt.platform.documents import EngineEntry
+    from cactusshunt.platform.documents import EngineReport
+
+ENTRY_LAG_S = 3.0  # engines write to the store about every second, seen up to a second later
+ADAPTER_READY_S = 0.02  # twice the usual time of an adapter's load
+
+
+@dataclass(kw_only=True)
+class EngineLedger:
+    """State of one start of an engine; mutable, owned by the order task.
+
+    ``report_due_at`` is the steady-clock time at which the engine is asked again, ``None`` if
+    nothing is open. ``models`` counts items that are on their way as held.
+    """
+
+    name: str
+    born: int
+    sequence: int = -1
+    models: dict[str, set[str]] = field(default_factory=dict)
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+    known: bool = False
+    busy: bool = False
+    calling: bool = False
+    report_due_at: float | None = 0.0
+    rests_until: float = 0.0
+    coming: dict[str, float] = field(default_factory=dict)
+    changed: bool = True
+    accepted_at: float = -1e9
+    compared: set[str] | None = None
+
+    def can_take_order(self, now: float) -> bool:
+        """Tell whether the state is known and no order is open."""
+        return (
+            self.known
+            and not self.busy
+            and not self.calling
+            and self.report_due_at is None
+            and now >= self.rests_until
+        )
+
+    def take_entry(self, entry: EngineEntry, now: float) -> None:
+        """Compare with what the engine wrote into the store; ask it where they differ."""
+        if entry.born != self.born:
+            self.born = entry.born
+            self.sequence = -1
+            self.models = {}
+            self.coming = {}
+            self.known = False
+            self.busy = False
+            self.report_due_at = now
+            self.changed = True
+            return
+        told = {model.name for model in entry.models}
+        settled = self.known and not self.busy and self.report_due_at is None
+        if settled and told != set(self.models) and now - self.accepted_at > ENTRY_LAG_S:
+            if self.compared != told:
+                self.report_due_at = now
+            self.compared = told
+
+    def take_report(self, report: EngineReport, now: float) -> None:
+        """Take a report unless it is older than an accepted order."""
+        if report.sequence < self.sequence:
+            self.report_due_at = now + 0.1
+            return
+        self.sequence = report.sequence
+        self.models = {model.name: set(model.adapters) for model in report.models}
+        for item in report.coming:
+            model, _, adapter = item.partition("@")[0].partition("/")
+            if model in self.models and adapter:
+                self.models[model].add(adapter)
+        self.in_memory = frozenset(report.at_hand.in_memory)
+        self.on_disk = frozenset(report.at_hand.on_disk)
+        self.known = True
+        self.busy = report.busy
+        self.changed = True
+        if report.busy:
+            self.report_due_at = now + 0.08
+            return
+        self.coming = {item: at for item, at in self.coming.items() if "/" in item and at > now}
+        self.report_due_at = None
+
+    def take_accepted(self, order: PlannedOrder, now: float, load_s: float) -> None:
+        """Apply an order that the engine accepted."""
+        self.sequence = order.expected + 1
+        self.accepted_at = now
+        self.changed = True
+        if order.adapter:
+            adapters = self.models.setdefault(order.model, set())
+            if order.load:
+                adapters.add(order.adapter)
+                self.coming[f"{order.model}/{order.adapter}"] = now + ADAPTER_READY_S
+            else:
+                adapters.discard(order.adapter)
+            return
+        self.busy = True
+        if order.load:
+            self.coming[order.model] = now + load_s
+            self.report_due_at = now + load_s + 0.02
+        else:
+            self.models.pop(order.model, None)
+            self.report_due_at = now + 0.12
+
+    def list_models(self) -> dict[str, list[str]]:
+        """Return the held items by model, those under way included."""
+        return {model: sorted(adapters) for model, adapters in self.models.items()}
+
+    def describe(
+        self, *, availability_zone: str, capacity_mb: float, places: int, running: float, now: float
+    ) -> EngineState:
+        """Return the engine's part of a placement decision's input."""
+        return EngineState(
+            name=self.name,
+            availability_zone=availability_zone,
+            capacity_mb=capacity_mb,
+            adapter_places=places,
+            sequence=self.sequence,
+            busy=not self.can_take_order(now),
+            models={model: frozenset(adapters) for model, adapters in self.models.items()},
+            in_memory=self.in_memory,
+            on_disk=self.on_disk,
+            running=running,
+        )
--- /dev/null
+++ b/src/cactusshunt/placement/fleet_state.py
@@ -0,0 +1,101 @@
+"""Inputs and outputs of the placement decision."""
+
+from __future__ import annotations
+
+import enum
+
+from dataclasses import dataclass
+from dataclasses import field
+
+
+class WeightSource(enum.Enum):
+    """Where an engine would take a model's weights from."""
+
+    MEMORY = "memory"
+    DISK = "disk"
+    STORE = "store"
+
+
+@dataclass(frozen=True, kw_only=True)
+class ModelFacts:
+    """Size of a model and of one of its adapters (MB), and load times (s) by source."""
+
+    name: str
+    size_mb: float
+    adapter_mb: float
+    load_s: dict[WeightSource, float]
+
+
+@dataclass(frozen=True, kw_only=True)
+class EngineState:
+    """An engine at one ``sequence`` of accepted orders.
+
+    ``models`` maps held models to their adapters; ``last_used`` gives the steady-clock time at
+    which an item was asked for last, over all VMs.
+    """
+
+    name: str
+    availability_zone: str
+    capacity_mb: float
+    adapter_places: int
+    sequence: int
+    busy: bool
+    models: dict[str, frozenset[str]]
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
+    running: float = 0.0
+
+    def source_of(self, model: str) -> WeightSource:
+        """Return where the weights would come from."""
+        if model in self.in_memory:
+            return WeightSource.MEMORY
+        return WeightSource.DISK if model in self.on_disk else WeightSource.STORE
+
+    def adapter_count(self) -> int:
+        """Return the number of adapters held."""
+        return sum(len(adapters) for adapters in self.models.values())
+
+    def used_mb(self, facts: dict[str, ModelFacts]) -> float:
+        """Return the MB taken by models and adapters; an unknown model fills the engine."""
+        total = 0.0
+        for model, adapters in self.models.items():
+            known = facts.get(model)
+            if known is None:
+                return self.capacity_mb
+            total += known.size_mb + known.adapter_mb * len(adapters)
+        return total
+
+
+@dataclass(frozen=True, kw_only=True)
+class Demand:
+    """What all VMs ask of one model: tokens per ms, waiting requests, time of the last ask."""
+
+    tokens_per_ms: float = 0.0
+    waiting: int = 0
+    last_asked_at: float = -1e9
+
+
+@dataclass(frozen=True, kw_only=True)
+class FleetState:
+    """All that a placement decision depends on."""
+
+    now: float
+    engines: tuple[EngineState, ...]
+    facts: dict[str, ModelFacts]
+    demand: dict[str, Demand] = field(default_factory=dict)
+    adapter_demand: dict[tuple[str, str], Demand] = field(default_factory=dict)
+    store_loads_allowed: int = 0
+    tokens_per_ms: float = 20.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlannedOrder:
+    """One order for one engine, valid at ``expected`` accepted orders only."""
+
+    engine: str
+    load: bool
+    model: str
+    adapter: str = ""
+    expected: int
+    source: WeightSource = WeightSource.MEMORY
+    reason: str = ""
--- /dev/null
+++ b/src/cactusshunt/placement/order_task.py
@@ -0,0 +1,271 @@
+"""Gives orders to engines while this VM holds the right to, and tells all VMs what they hold."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cactusshunt.exceptions import OrderNotSentError
+from cactusshunt.exceptions import OrderOutcomeUnknownError
+from cactusshunt.membership.messages import Holdings
+from cactusshunt.membership.messages import PlacementNews
+from cactusshunt.node_log import log_event
+from cactusshunt.placement.adapter_plan import plan_adapters
+from cactusshunt.placement.demand_board import DemandBoard
+from cactusshunt.placement.engine_ledger import EngineLedger
+from cactusshunt.placement.fleet_state import FleetState
+from cactusshunt.placement.fleet_state import ModelFacts
+from cactusshunt.placement.fleet_state import WeightSource
+from cactusshunt.placement.load_rate import LoadRate
+from cactusshunt.placement.model_plan import plan_models
+from cactusshunt.platform.engine_calls import OrderAnswer
+from cactusshunt.tasks.periodic import start_coroutine
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.base import ReactorBase
+
+    from cactusshunt.membership.tenure import Tenure
+    from cactusshunt.placement.fleet_state import PlannedOrder
+    from cactusshunt.platform.documents import Configuration
+    from cactusshunt.platform.documents import EngineSpec
+    from cactusshunt.platform.documents import Service
+    from cactusshunt.platform.engine_calls import EngineCalls
+    from cactusshunt.routing.directory import Directory
+    from cactusshunt.routing.upstream import Upstream
+
+CALL_TIMEOUT_S = 0.4
+REST_S = 0.4  # after an engine did not answer or refused an order
+REPEAT_S = 0.15  # news is sent twice, since datagrams may be lost
+
+
+class OrderTask:
+    """Owns the ledgers of all engines for as long as the right lasts."""
+
+    def __init__(
+        self,
+        *,
+        reactor: ReactorBase,
+        vm: str,
+        directory: Directory,
+        calls: EngineCalls,
+        tenure: Callable[[], Tenure],
+        publish: Callable[[PlacementNews], None],
+    ) -> None:
+        self._reactor = reactor
+        self._vm = vm
+        self._directory = directory
+        self._calls = calls
+        self._tenure = tenure
+        self._publish = publish
+        self._services: list[Service] = []
+        self._ledgers: dict[str, EngineLedger] = {}
+        self._rates: dict[str, LoadRate] = {}
+        self._token = 0
+        self.board = DemandBoard()
+        self.orders_given = 0
+        self.store_loads = 0
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take the services whose upstreams hold models."""
+        self._services = [found for found in configuration.services if found.engine is not None]
+
+    def tick(self) -> None:
+        """Look at all engines once and give the orders that are due."""
+        tenure = self._tenure()
+        if not tenure.elected:
+            self._ledgers.clear()
+            self._token = 0
+            return
+        if tenure.token != self._token:
+            self._begin(tenure)
+        now = self._now()
+        for service in self._services:
+            upstreams = [u for u in self._directory.all() if u.entry.service == service.name]
+            self._follow(upstreams, now)
+            if tenure.holds(now) and service.engine is not None:
+                self._plan(service, service.engine, upstreams, tenure.token, now)
+        self._announce(now)
+
+    def _begin(self, tenure: Tenure) -> None:
+        self._token = tenure.token
+        self._ledgers.clear()
+        self._rates = {}
+
+    def _follow(self, upstreams: list[Upstream], now: float) -> None:
+        for upstream in upstreams:
+            ledger = self._ledgers.get(upstream.name)
+            if ledger is None:
+                ledger = EngineLedger(name=upstream.name, born=upstream.entry.born)
+                ledger.report_due_at = now
+                self._ledgers[upstream.name] = ledger
+            ledger.take_entry(upstream.entry, now)
+            due = ledger.report_due_at
+            if due is not None and due <= now and not ledger.calling:
+                ledger.calling = True
+                start_coroutine(self._ask(upstream, ledger))
+
+    async def _ask(self, upstream: Upstream, ledger: EngineLedger) -> None:
+        report = await self._calls.read_report(
+            upstream.address, upstream.name, deadline=self._now() + CALL_TIMEOUT_S
+        )
+        ledger.calling = False
+        now = self._now()
+        if report is None:
+            ledger.report_due_at = now + REST_S
+            return
+        ledger.take_report(report, now)
+
+    def _plan(
+        self,
+        service: Service,
+        spec: EngineSpec,
+        upstreams: list[Upstream],
+        token: int,
+        now: float,
+    ) -> None:
+        rate = self._rates.setdefault(service.name, LoadRate(now=now))
+        rate.set_rate(spec.loads_per_s)
+        state = self._describe(service, spec, upstreams, rate.allowed(now), now)
+        orders = plan_models(state)
+        taken = frozenset(order.engine for order in orders)
+        orders += plan_adapters(state, taken)
+        by_name = {upstream.name: upstream for upstream in upstreams}
+        for order in orders:
+            if order.load and not order.adapter and order.source is WeightSource.STORE:
+                rate.spend()
+                self.store_loads += 1
+            self._ledgers[order.engine].calling = True
+            load_s = 0.0
+            if not order.adapter and order.load:
+                load_s = state.facts[order.model].load_s[order.source]
+            start_coroutine(self._give(by_name[order.engine], order, token, load_s))
+
+    def _describe(
+        self,
+        service: Service,
+        spec: EngineSpec,
+        upstreams: list[Upstream],
+        store_loads: int,
+        now: float,
+    ) -> FleetState:
+        ready = [upstream for upstream in upstreams if upstream.ready]
+        engines = tuple(
+            self._ledgers[upstream.name].describe(
+                availability_zone=upstream.entry.zone,
+                capacity_mb=spec.weights_size_mb,
+                places=spec.max_adapters,
+                running=upstream.total_running(now),
+                now=now,
+            )
+            for upstream in ready
+        )
+        demand = self.board.read(service.name, now)
+        rates = [upstream.rate for upstream in ready]
+        return FleetState(
+            now=now,
+            engines=engines,
+            facts=_read_facts(spec),
+            demand={item: found for item, found in demand.items() if "/" not in item},
+            adapter_demand={
+                (item.partition("/")[0], item.partition("/")[2]): found
+                for item, found in demand.items()
+                if "/" in item
+            },
+            store_loads_allowed=store_loads,
+            tokens_per_ms=sum(rates) / len(rates) if rates else 20.0,
+        )
+
+    async def _give(
+        self, upstream: Upstream, order: PlannedOrder, token: int, load_s: float
+    ) -> None:
+        ledger = self._ledgers[order.engine]
+        answer: OrderAnswer | None = None
+        outcome = ""
+        try:
+            answer = await self._calls.give_order(
+                upstream.address,
+                upstream.name,
+                load=order.load,
+                model=order.model,
+                adapter=order.adapter,
+                owner=self._vm,
+                token=token,
+                expected=order.expected,
+                deadline=self._now() + CALL_TIMEOUT_S,
+            )
+            outcome = answer.name
+        except OrderNotSentError:
+            outcome = "NOT_SENT"
+        except OrderOutcomeUnknownError:
+            outcome = "UNKNOWN"
+        ledger.calling = False
+        self.orders_given += 1
+        now = self._now()
+        log_event(
+            "order",
+            upstream=order.engine,
+            load=order.load,
+            item=f"{order.model}/{order.adapter}" if order.adapter else order.model,
+            expected=order.expected,
+            source=order.source.value,
+            reason=order.reason,
+            outcome=outcome,
+        )
+        accepted = answer is OrderAnswer.STARTED or (
+            answer is OrderAnswer.DONE and bool(order.adapter)
+        )
+        if accepted:
+            ledger.take_accepted(order, now, load_s)
+            self.tick()
+            return
+        ledger.report_due_at = now + 0.12
+        if answer is not OrderAnswer.CONFLICT:
+            ledger.rests_until = now + REST_S
+
+    def _announce(self, now: float) -> None:
+        changed = [ledger for ledger in self._ledgers.values() if ledger.known and ledger.changed]
+        if not changed:
+            return
+        holdings = []
+        for ledger in changed:
+            ledger.changed = False
+            holdings.append(
+                Holdings(
+                    upstream=ledger.name,
+                    born=ledger.born,
+                    sequence=ledger.sequence,
+                    models=ledger.list_models(),
+                    coming={
+                        item: int((at - now) * 1000)
+                        for item, at in ledger.coming.items()
+                        if at > now
+                    },
+                )
+            )
+        news = PlacementNews(vm=self._vm, token=self._token, engines=holdings)
+        for found in holdings:
+            self._directory.take_holdings(found, self._token)
+        self._publish(news)
+        reactor: Any = self._reactor
+        reactor.callLater(REPEAT_S, self._publish, news)
+
+    def _now(self) -> float:
+        return self._reactor.seconds()  # type: ignore[attr-defined,no-any-return]
+
+
+def _read_facts(spec: EngineSpec) -> dict[str, ModelFacts]:
+    return {
+        model.name: ModelFacts(
+            name=model.name,
+            size_mb=model.weights_size_mb,
+            adapter_mb=model.adapter_mb,
+            load_s={
+                WeightSource.MEMORY: model.warm_s or model.load_s,
+                WeightSource.DISK: model.disk_s or model.load_s,
+                WeightSource.STORE: model.load_s,
+            },
+        )
+        for model in spec.models
+    }
--- /dev/null
+++ b/src/cactusshunt/platform/boot.py
@@ -0,0 +1,89 @@
+"""Settings file that the platform lays out for a process (TOML)."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+
+from pathlib import Path
+
+import msgspec
+
+from cactusshunt.exceptions import SettingsError
+
+SETTINGS_VARIABLE = "CACTUSSHUNT_BOOT"
+
+
+class Listen(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """Addresses this process serves, as IP:PORT."""
+
+    front: str
+    ready: str
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """What the VM grants one process: MB of memory, descriptors, Mbit/s of its link."""
+
+    memory_mb: float = 300
+    max_fds: int = 4100
+    link_mbps: float = 1000.0
+
+
+class Bounds(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """Time bounds and ratios that the deployment promises to keep."""
+
+    drain_ms: int = 2000
+    grace_s: float = 8
+    config_ms: int = 2000
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10
+    budget_min_retries: float = 50
+    lease_ms: int = 3000
+    ceiling_window_s: float = 5
+    origin_overage: float = 1.1
+
+
+class Platform(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """Where the store is, and the shortest lease it grants, in ms."""
+
+    address: str
+    ttl_min_ms: int = 1000
+
+
+class BootSettings(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """Settings of one process; fields that are not known are ignored."""
+
+    node: str
+    ip: str
+    zone: str
+    port_range: tuple[int, int]
+    listen: Listen
+    platform: Platform
+    limits: Limits = Limits()
+    bounds: Bounds = Bounds()
+    heartbeat_ms: int = 1200
+
+
+def find_settings_file() -> Path:
+    """Return the path that the environment names."""
+    return Path(os.environ.get(SETTINGS_VARIABLE, "/etc/cactusshunt/local.toml"))
+
+
+def read_boot_settings(path: Path) -> BootSettings:
+    """Read and check the settings file; raises ``SettingsError``."""
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+        return msgspec.convert(document, BootSettings, strict=False)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise SettingsError(
+            reason=f"{error}.",
+            remedy="Correct the settings file of the platform.",
+            path=str(path),
+            line=0,
+        ) from error
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``IP:PORT``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/src/cactusshunt/platform/documents.py
@@ -0,0 +1,167 @@
+"""Configuration and engine entries as they lie in the platform's store."""
+
+from __future__ import annotations
+
+import msgspec
+
+from cactusshunt.exceptions import SettingsError
+
+CONFIGURATION_KEY = "op/config"
+OPERATOR_PREFIX = "op/"
+ENGINES_PREFIX = "servers/"
+OWN_PREFIX = "cactusshunt/"
+
+IDEMPOTENT = "idempotent"
+STREAMING = "streaming"
+READY = "ready"
+
+
+class WeightedService(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """One service of a route that is split, with its share."""
+
+    service: str
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """Where requests of one host and path prefix go, and how they may be handled."""
+
+    name: str
+    hostname: str
+    prefix: str
+    route_type: str = "non_idempotent"
+    timeout_ms: float = 30_000
+    target_latency_ms: float = 1_000
+    priority: int = 5
+    service: str = ""
+    traffic_split: list[WeightedService] = []
+    attempts: int = 1
+    can_resume: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self.route_type == IDEMPOTENT
+
+    @property
+    def streams(self) -> bool:
+        """Tell whether the answer is a series of events."""
+        return self.route_type == STREAMING
+
+
+class ModelSpec(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """A model's size in MB and its load times in s, by where its weights are."""
+
+    name: str
+    weights_size_mb: float
+    load_s: float = 5.0
+    warm_s: float | None = None
+    disk_s: float | None = None
+    adapter_mb: float = 0.0
+
+
+class EngineSpec(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """What every engine of a service offers: MB for weights, adapter places, tokens."""
+
+    slots: int = 1
+    kv_capacity: float = 0
+    weights_size_mb: float = 0.0
+    max_adapters: int = 0
+    loads_per_s: float = 1.0
+    models: list[ModelSpec] = []
+
+
+class Service(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """A pool of upstreams; ``engine`` is set where they hold models."""
+
+    name: str
+    max_connections: int = 100
+    engine: EngineSpec | None = None
+
+
+class CallerLimits(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """What a caller may send (bytes) and how long it may take or stay idle (ms)."""
+
+    max_header_bytes: int = 32_768
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 10_000
+    idle_timeout_ms: float = 60_000
+
+
+class Configuration(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """One accepted version of the operators' configuration."""
+
+    version: int
+    routes: list[Route] = []
+    services: list[Service] = []
+    limits: CallerLimits = CallerLimits()
+
+
+class HeldModel(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """A model in an engine's memory and the adapters that are with it."""
+
+    name: str
+    version: int = 0
+    adapters: list[str] = []
+
+
+class AtHand(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """Models whose weights an engine keeps outside its accelerators."""
+
+    in_memory: list[str] = []
+    on_disk: list[str] = []
+
+
+class EngineEntry(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """What an upstream says of itself in the store; ``sequence`` counts accepted orders."""
+
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str
+    born: int = 0
+    models: list[HeldModel] = []
+    at_hand: AtHand = AtHand()
+    sequence: int = 0
+
+
+class EngineReport(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """An engine's answer about itself, some hundred ms old."""
+
+    models: list[HeldModel] = []
+    busy: bool = False
+    sequence: int = 0
+    born: int = 0
+    at_hand: AtHand = AtHand()
+    coming: list[str] = []
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """Decode the operators' configuration; raises ``SettingsError``."""
+    try:
+        return msgspec.json.decode(value, type=Configuration, strict=False)
+    except msgspec.DecodeError as error:
+        raise SettingsError(
+            reason=f"{error}.", remedy="The version in force stays.", path=CONFIGURATION_KEY, line=0
+        ) from error
+
+
+def decode_engine_entry(value: bytes) -> EngineEntry | None:
+    """Decode an upstream's entry; ``None`` for one that another writer left unreadable."""
+    try:
+        entry = msgspec.json.decode(value, type=EngineEntry)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    host, _, port = entry.address.rpartition(":")
+    if not host or not port.isdigit() or entry.state not in (READY, "draining"):
+        return None
+    return entry
+
+
+def decode_report(value: bytes) -> EngineReport | None:
+    """Decode an engine's report; ``None`` if it cannot be read."""
+    try:
+        return msgspec.json.decode(value, type=EngineReport, strict=False)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
--- /dev/null
+++ b/src/cactusshunt/platform/engine_calls.py
@@ -0,0 +1,120 @@
+"""Calls to one engine besides requests: reports and orders."""
+
+from __future__ import annotations
+
+import enum
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cactusshunt.exceptions import OrderNotSentError
+from cactusshunt.exceptions import OrderOutcomeUnknownError
+from cactusshunt.exceptions import UpstreamError
+from cactusshunt.exceptions import UpstreamNotReachedError
+from cactusshunt.http1.collected_answer import call
+from cactusshunt.platform import headers as names
+from cactusshunt.platform.documents import decode_report
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+
+    from cactusshunt.http1.connection_pool import Address
+    from cactusshunt.http1.connection_pool import ConnectionPool
+    from cactusshunt.platform.documents import EngineReport
+
+
+class OrderAnswer(enum.IntEnum):
+    """What an engine says of an order."""
+
+    STARTED = 202
+    DONE = 200
+    CONFLICT = 409
+    OLD_TOKEN = 412
+    WRONG_INSTANCE = 421
+    INVALID = 400
+
+
+class _Order(msgspec.Struct, frozen=True, kw_only=True, rename="camel", omit_defaults=True):
+    operation: str
+    model: str
+    owner: str
+    fencing_token: int
+    expected: int | None = None
+    adapter: str = ""
+
+
+class EngineCalls:
+    """Asks engines for reports and gives them orders."""
+
+    def __init__(self, *, reactor: ReactorBase, pool: ConnectionPool) -> None:
+        self._reactor = reactor
+        self._pool = pool
+
+    async def read_report(
+        self, address: Address, instance: str, *, deadline: float
+    ) -> EngineReport | None:
+        """Return an engine's report, or ``None`` if it did not give one."""
+        try:
+            answer = await call(
+                reactor=self._reactor,
+                pool=self._pool,
+                address=address,
+                method=b"GET",
+                target=b"/v1/report",
+                headers=[(b"X-Expect-Instance", instance.encode())],
+                deadline=deadline,
+            )
+        except UpstreamError:
+            return None
+        return decode_report(answer.body) if answer.status == 200 else None
+
+    async def give_order(
+        self,
+        address: Address,
+        instance: str,
+        *,
+        load: bool,
+        model: str,
+        adapter: str,
+        owner: str,
+        token: int,
+        expected: int,
+        deadline: float,
+    ) -> OrderAnswer:
+        """Give an order that falls flat unless ``expected`` orders were accepted before.
+
+        Raises ``OrderNotSentError`` or ``OrderOutcomeUnknownError``.
+        """
+        order = _Order(
+            operation="load" if load else "unload",
+            model=model,
+            adapter=adapter,
+            owner=owner,
+            fencing_token=token,
+            expected=expected,
+        )
+        headers = [
+            (b"X-Expect-Instance", instance.encode()),
+            (b"Content-Type", b"application/json"),
+        ]
+        try:
+            answer = await call(
+                reactor=self._reactor,
+                pool=self._pool,
+                address=address,
+                method=b"POST",
+                target=b"/v1/order",
+                headers=headers,
+                body=msgspec.json.encode(order),
+                deadline=deadline,
+            )
+        except UpstreamNotReachedError as error:
+            raise OrderNotSentError(reason=error.reason, remedy="Planned again.") from error
+        except UpstreamError as error:
+            raise OrderOutcomeUnknownError(reason=error.reason, remedy="Report read.") from error
+        if answer.status not in set(OrderAnswer):
+            if names.find_header(answer.headers, names.NOT_RUN) is not None:
+                raise OrderNotSentError(reason="The engine is full.", remedy="Planned again.")
+            raise OrderOutcomeUnknownError(reason=f"Status {answer.status}.", remedy="Report read.")
+        return OrderAnswer(answer.status)
--- /dev/null
+++ b/src/cactusshunt/platform/store.py
@@ -0,0 +1,237 @@
+"""Client of the platform's store.
+
+Values travel as base64 text. A call without an answer may have taken effect, or may do so later.
+"""
+
+from __future__ import annotations
+
+import base64
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from cactusshunt.exceptions import CompareFailedError
+from cactusshunt.exceptions import HistoryLostError
+from cactusshunt.exceptions import LeaseEndedError
+from cactusshunt.exceptions import StoreOutcomeUnknownError
+from cactusshunt.exceptions import StoreUnavailableError
+from cactusshunt.exceptions import UpstreamError
+from cactusshunt.exceptions import UpstreamNotReachedError
+from cactusshunt.http1.collected_answer import call
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from twisted.internet.base import ReactorBase
+
+    from cactusshunt.http1.collected_answer import CollectedAnswer
+    from cactusshunt.http1.connection_pool import Address
+    from cactusshunt.http1.connection_pool import ConnectionPool
+
+Answer = TypeVar("Answer")
+ABSENT = 0  # revision of a key that must not exist
+JSON_HEADERS = [(b"Content-Type", b"application/json")]
+
+
+class _Item(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    key: str
+    value: str = ""
+    mod_revision: int = 0
+    deleted: bool = False
+
+
+class _Page(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    items: list[_Item] = []
+    more_pages: bool = False
+    current_rev: int = 0
+
+
+class _Events(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    events: list[_Item] = []
+    current_rev: int = 0
+
+
+class _Written(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    mod_revision: int
+
+
+class _Lease(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    lease: int = 0
+    ttl_ms: int = 0
+
+
+class _Expected(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    key: str
+    mod_revision: int
+
+
+class _Put(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    key: str
+    value: str
+    lease: int = 0
+
+
+class _Transaction(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    expected: list[_Expected]
+    set_keys: list[_Put]
+    remove: list[str]
+
+
+class _LeaseRequest(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    ttl_ms: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class StoredItem:
+    """A key as it was written last; ``value`` is ``None`` for one that was removed."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class StoredRange:
+    """Items and the store's revision at which (or, for pages, before which) they were read."""
+
+    items: tuple[StoredItem, ...]
+    revision: int
+
+
+class PlatformStore:
+    """Reads, waits for changes, writes under conditions, and holds leases."""
+
+    def __init__(self, *, reactor: ReactorBase, address: Address, pool: ConnectionPool) -> None:
+        self._reactor = reactor
+        self._address = address
+        self._pool = pool
+        self.calls = 0
+
+    async def read_prefix(self, prefix: str, *, deadline: float) -> StoredRange:
+        """Read all items below a prefix; the revision is that of the first page."""
+        items: list[StoredItem] = []
+        revision = 0
+        after = ""
+        while True:
+            query = f"/v1/kv-range?prefix={quote(prefix, safe='')}"
+            if after:
+                query += f"&after={quote(after, safe='')}"
+            page = self._decode(await self._call(b"GET", query, b"", deadline), _Page)
+            revision = revision or page.current_rev
+            items.extend(_decode_item(item) for item in page.items)
+            if not page.more_pages or not page.items:
+                return StoredRange(items=tuple(items), revision=revision)
+            after = page.items[-1].key
+
+    async def wait_for_changes(
+        self, prefix: str, *, after: int, wait_s: float, deadline: float
+    ) -> StoredRange:
+        """Return what changed after a revision; raises ``HistoryLostError`` if that is gone."""
+        wait_ms = int(wait_s * 1000)
+        query = f"/v1/kv-watch?prefix={quote(prefix, safe='')}&after={after}&waitMs={wait_ms}"
+        answer = await self._call(b"GET", query, b"", deadline)
+        if answer.status == 410:
+            raise HistoryLostError(reason="Changes are not kept any more.", remedy="Read anew.")
+        found = self._decode(answer, _Events)
+        items = tuple(_decode_item(item) for item in found.events)
+        return StoredRange(items=items, revision=found.current_rev)
+
+    async def commit(
+        self,
+        *,
+        expected: Mapping[str, int],
+        puts: Mapping[str, bytes],
+        removals: Sequence[str] = (),
+        lease: int = 0,
+        unleased: Mapping[str, bytes] | None = None,
+        deadline: float,
+    ) -> int:
+        """Write all or nothing and return the revision; ``lease`` binds ``puts`` alone."""
+        rows = [_put(key, value, lease) for key, value in puts.items()]
+        rows += [_put(key, value, 0) for key, value in (unleased or {}).items()]
+        transaction = _Transaction(
+            expected=[_Expected(key=key, mod_revision=rev) for key, rev in expected.items()],
+            set_keys=rows,
+            remove=list(removals),
+        )
+        body = msgspec.json.encode(transaction)
+        answer = await self._call(b"POST", "/v1/kv-txn", body, deadline)
+        if answer.status == 412:
+            raise CompareFailedError(reason="Another writer was first.", remedy="Read again.")
+        _check_lease(answer)
+        return self._decode(answer, _Written).mod_revision
+
+    async def grant_lease(self, *, ttl_s: float, deadline: float) -> int:
+        """Create a lease and return its number."""
+        body = msgspec.json.encode(_LeaseRequest(ttl_ms=int(ttl_s * 1000)))
+        answer = await self._call(b"POST", "/v1/kv-lease", body, deadline)
+        return self._decode(answer, _Lease).lease
+
+    async def renew_lease(self, lease: int, *, deadline: float) -> None:
+        """Renew a lease; raises ``LeaseEndedError`` if it has ended."""
+        answer = await self._call(b"POST", f"/v1/kv-keep/{lease}", b"", deadline)
+        _check_lease(answer)
+        self._decode(answer, _Lease)
+
+    async def end_lease(self, lease: int, *, deadline: float) -> None:
+        """End a lease; its keys are removed."""
+        await self._call(b"DELETE", f"/v1/kv-lease-end/{lease}", b"", deadline)
+
+    async def _call(
+        self, method: bytes, target: str, body: bytes, deadline: float
+    ) -> CollectedAnswer:
+        self.calls += 1
+        try:
+            answer = await call(
+                reactor=self._reactor,
+                pool=self._pool,
+                address=self._address,
+                method=method,
+                target=target.encode(),
+                headers=JSON_HEADERS if body else [],
+                body=body,
+                deadline=deadline,
+            )
+        except UpstreamNotReachedError as error:
+            raise StoreUnavailableError(reason=error.reason, remedy="Tried again.") from error
+        except UpstreamError as error:
+            raise StoreOutcomeUnknownError(reason=error.reason, remedy="Read back.") from error
+        if answer.status in (429, 503):
+            raise StoreUnavailableError(
+                reason=f"The store refused the call ({answer.status}).", remedy="Tried again later."
+            )
+        return answer
+
+    def _decode(self, answer: CollectedAnswer, kind: type[Answer]) -> Answer:
+        if answer.status != 200:
+            raise StoreOutcomeUnknownError(reason=f"Status {answer.status}.", remedy="Read back.")
+        try:
+            return msgspec.json.decode(answer.body, type=kind)
+        except msgspec.DecodeError as error:
+            raise StoreOutcomeUnknownError(reason=f"{error}.", remedy="Read back.") from error
+
+
+def _check_lease(answer: CollectedAnswer) -> None:
+    if answer.status == 404:
+        raise LeaseEndedError(reason="The lease has ended.", remedy="A new one is taken.")
+
+
+def _put(key: str, value: bytes, lease: int) -> _Put:
+    return _Put(key=key, value=base64.b64encode(value).decode(), lease=lease)
+
+
+def _decode_item(item: _Item) -> StoredItem:
+    value = None if item.deleted else _decode_value(item.value)
+    return StoredItem(key=item.key, value=value, revision=item.mod_revision)
+
+
+def _decode_value(text: str) -> bytes:
+    try:
+        return base64.b64decode(text)
+    except ValueError:
+        return b""
--- /dev/null
+++ b/src/cactusshunt/ready_page.py
@@ -0,0 +1,57 @@
+"""Answers the balancer, and operators who ask for the state of the process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from cactusshunt.http1.caller_connection import ReadingLimits
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cactusshunt.http1.caller_connection import CallerConnection
+    from cactusshunt.http1.caller_connection import ReceivedRequest
+
+LIMITS = ReadingLimits(
+    header_bytes=8_192, body_bytes=1_024, header_timeout_s=2.0, idle_timeout_s=30.0
+)
+JSON = [(b"Content-Type", b"application/json")]
+
+
+class ReadyPage:
+    """Handler of the readiness address."""
+
+    def __init__(self, *, is_ready: Callable[[], bool], dump: Callable[[], dict[str, Any]]) -> None:
+        self._is_ready = is_ready
+        self._dump = dump
+
+    def limits(self) -> ReadingLimits:
+        """Return what may be sent."""
+        return LIMITS
+
+    def stopping(self) -> bool:
+        """Keep connections; the process ends them."""
+        return False
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Nothing is kept."""
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Nothing is kept."""
+
+    def handle(self, request: ReceivedRequest, connection: CallerConnection) -> None:
+        """Answer 200 or 503, or the state of the process."""
+        path = request.target.partition(b"?")[0]
+        if path == b"/v1/dump":
+            connection.answer(200, JSON, msgspec.json.encode(self._dump()))
+            return
+        if path not in (b"/v1/readyz", b"/"):
+            connection.answer(404, JSON, b"{}")
+            return
+        ready = self._is_ready()
+        connection.answer(
+            200 if ready else 503, JSON, b'{"ready":%s}' % str(ready).lower().encode()
+        )
--- /dev/null
+++ b/src/cactusshunt/requests/caller_requests.py
@@ -0,0 +1,138 @@
+"""Takes callers' requests from their connections and starts their way."""
+
+from __future__ import annotations
+
+import random
+
+from typing import TYPE_CHECKING
+
+from cactusshunt.configuration.routes import RouteTable
+from cactusshunt.configuration.routes import choose_service
+from cactusshunt.http1.caller_connection import ReadingLimits
+from cactusshunt.node_log import log_event
+from cactusshunt.platform import headers as names
+from cactusshunt.platform.model_headers import read_deadline_ms
+from cactusshunt.platform.model_headers import read_generation
+from cactusshunt.requests import final_answers
+from cactusshunt.requests.answer_sink import AnswerSink
+from cactusshunt.requests.job import Job
+from cactusshunt.tasks.periodic import start_coroutine
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+
+    from cactusshunt.http1.caller_connection import CallerConnection
+    from cactusshunt.http1.caller_connection import ReceivedRequest
+    from cactusshunt.placement.demand_meter import DemandMeter
+    from cactusshunt.platform.documents import Configuration
+    from cactusshunt.requests.relay import Relay
+
+UNKNOWN_LIMITS = ReadingLimits(
+    header_bytes=16_384, body_bytes=4_194_304, header_timeout_s=5.0, idle_timeout_s=15.0
+)
+"""Before any configuration is known; the usual limits of HTTP servers."""
+DROPPED = names.HOP_HEADERS | names.SYSTEM_HEADERS
+MOST_JOBS = 2_000  # in flight; at some 20 KB each well below a VM's memory
+UNKNOWN_RETRY_S = 0.5
+
+
+class CallerRequests:
+    """Handler of the callers' side: limits, routes, and the requests in flight."""
+
+    def __init__(self, *, reactor: ReactorBase, relay: Relay, meter: DemandMeter) -> None:
+        self._reactor = reactor
+        self._relay = relay
+        self._meter = meter
+        self._table: RouteTable | None = None
+        self._limits = UNKNOWN_LIMITS
+        self._random = random.Random()
+        self.connections: set[CallerConnection] = set()
+        self.in_flight = 0
+        self.stop_requested = False
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force for all requests from now on."""
+        self._table = RouteTable(configuration=configuration)
+        found = configuration.limits
+        self._limits = ReadingLimits(
+            header_bytes=found.max_header_bytes,
+            body_bytes=found.max_body_bytes,
+            header_timeout_s=found.header_timeout_ms / 1000.0,
+            idle_timeout_s=found.idle_timeout_ms / 1000.0,
+        )
+
+    def limits(self) -> ReadingLimits:
+        """Return what callers may send."""
+        return self._limits
+
+    def stopping(self) -> bool:
+        """Tell whether callers should open new connections elsewhere."""
+        return self.stop_requested
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Note a new connection."""
+        self.connections.add(connection)
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Note the end of a connection."""
+        self.connections.discard(connection)
+
+    def close_idle(self) -> None:
+        """Close the connections that carry no request."""
+        for connection in list(self.connections):
+            connection.close_idle()
+
+    def handle(self, request: ReceivedRequest, connection: CallerConnection) -> None:
+        """Start a request's way."""
+        request_id = names.find_header(request.headers, names.REQUEST_ID) or b""
+        if self._table is None:
+            self._refuse(connection, request_id, "no configuration is known yet", UNKNOWN_RETRY_S)
+            return
+        host = names.find_header(request.headers, b"host") or b""
+        route = self._table.find(host, request.target)
+        if route is None:
+            answer = final_answers.describe_failure(404, request_id, "no route")
+            connection.answer(*answer)
+            return
+        if self.in_flight >= MOST_JOBS:
+            self._refuse(connection, request_id, "too many requests at once", UNKNOWN_RETRY_S)
+            return
+        now = self._reactor.seconds()  # type: ignore[attr-defined]
+        limit_ms = route.timeout_ms
+        asked_ms = read_deadline_ms(request.headers)
+        if asked_ms is not None:
+            limit_ms = min(limit_ms, float(asked_ms))
+        job = Job(
+            request=request,
+            connection=connection,
+            route=route,
+            service=choose_service(route, self._random),
+            generation=read_generation(request.headers),
+            request_id=request_id,
+            headers=names.pass_headers(request.headers, DROPPED),
+            deadline=request.arrived_at + limit_ms / 1000.0,
+            sink=AnswerSink(connection=connection, request_id=request_id, streams=route.streams),
+        )
+        self._count(job, now)
+        start_coroutine(self._run(job))
+
+    async def _run(self, job: Job) -> None:
+        self.in_flight += 1
+        try:
+            await self._relay.run(job)
+        finally:
+            self.in_flight -= 1
+
+    def _count(self, job: Job, now: float) -> None:
+        if job.generation is None:
+            return
+        tokens = float(max(100, job.generation.prompt_tokens))
+        self._meter.add((job.service, job.generation.model), tokens, now)
+        if job.generation.adapter:
+            self._meter.add((job.service, job.item), tokens, now)
+
+    def _refuse(
+        self, connection: CallerConnection, request_id: bytes, reason: str, retry_after_s: float
+    ) -> None:
+        log_event("request_failed", request=request_id.decode("latin-1"), reason=reason, ran=False)
+        connection.answer(*final_answers.describe_refusal(request_id, reason, retry_after_s))
--- /dev/null
+++ b/src/cactusshunt/requests/job.py
@@ -0,0 +1,69 @@
+"""One caller's request on its way."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from cactusshunt.requests.answer_sink import AnswerSink
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cactusshunt.http1.caller_connection import CallerConnection
+    from cactusshunt.http1.caller_connection import ReceivedRequest
+    from cactusshunt.platform.documents import Route
+    from cactusshunt.platform.headers import Headers
+    from cactusshunt.platform.model_headers import Generation
+    from cactusshunt.requests.outcome import Outcome
+
+
+@dataclass(kw_only=True)
+class Job:
+    """A request with its route, its final moment, and what became of its attempts.
+
+    ``deadline`` is the steady-clock time of the final answer; ``running`` tells that an attempt's
+    bytes may have left and its outcome is open.
+    """
+
+    request: ReceivedRequest
+    connection: CallerConnection
+    route: Route
+    service: str
+    generation: Generation | None
+    request_id: bytes
+    headers: Headers
+    deadline: float
+    sink: AnswerSink
+    outcomes: list[Outcome] = field(default_factory=list)
+    excluded: set[str] = field(default_factory=set)
+    done: bool = False
+    running: bool = False
+    on_timeout: Callable[[], None] | None = None
+    retry_after_s: float = 0.3
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether the request may be sent again after it may have run."""
+        if self.route.streams:
+            return self.route.can_resume
+        return self.route.repeatable
+
+    @property
+    def cancellable(self) -> bool:
+        """Tell whether the upstream's work is ended when nobody waits for it."""
+        return self.route.streams or self.route.repeatable
+
+    @property
+    def item(self) -> str:
+        """Return ``model`` or ``model/adapter``, empty for a plain request."""
+        if self.generation is None:
+            return ""
+        if self.generation.adapter:
+            return f"{self.generation.model}/{self.generation.adapter}"
+        return self.generation.model
+
+    def left_ms(self, now: float) -> float:
+        """Return the time until the final answer."""
+        return max(0.0, (self.deadline - now) * 1000.0)
--- /dev/null
+++ b/src/cactusshunt/requests/relay.py
@@ -0,0 +1,312 @@
+"""Brings one request to an upstream and its answer back."""
+
+from __future__ import annotations
+
+import random
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cactusshunt.exceptions import UpstreamNotReachedError
+from cactusshunt.http1.upstream_connection import ExchangeEnd
+from cactusshunt.node_log import log_event
+from cactusshunt.platform import headers as names
+from cactusshunt.requests import final_answers
+from cactusshunt.requests.outcome import Next
+from cactusshunt.requests.outcome import Outcome
+from cactusshunt.requests.outcome import decide_next
+from cactusshunt.requests.outcome import may_have_run
+from cactusshunt.requests.outcome import was_sent
+from cactusshunt.routing.suspicion import note_failure
+from cactusshunt.routing.suspicion import note_success
+from cactusshunt.routing.upstream import Attempt
+from cactusshunt.routing.work_ahead import observe_rate
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+
+    from cactusshunt.http1.connection_pool import ConnectionPool
+    from cactusshunt.http1.upstream_connection import UpstreamConnection
+    from cactusshunt.requests.admission import Refusal
+    from cactusshunt.requests.job import Job
+    from cactusshunt.requests.retry_allowance import RetryAllowance
+    from cactusshunt.requests.upstream_picker import Picked
+    from cactusshunt.requests.upstream_picker import UpstreamPicker
+    from cactusshunt.routing.directory import Directory
+    from cactusshunt.routing.upstream import Upstream
+
+MOST_SENDS = 3  # of one request, refusals by upstreams included
+ENGINE_DEADLINE_MARGIN_MS = 20  # the upstream ends first, so that its own answer can be passed on
+
+
+class Relay:
+    """Runs the attempts of requests one after the other."""
+
+    def __init__(
+        self,
+        *,
+        reactor: ReactorBase,
+        pool: ConnectionPool,
+        directory: Directory,
+        picker: UpstreamPicker,
+        allowance: RetryAllowance,
+    ) -> None:
+        self._reactor = reactor
+        self._pool = pool
+        self._directory = directory
+        self._picker = picker
+        self._allowance = allowance
+        self._random = random.Random()
+
+    async def run(self, job: Job) -> None:
+        """Answer a request, whatever happens to it."""
+        self._allowance.count_request(job.service, self._now())
+        timer = self._call_later(job.deadline - self._now(), lambda: self._end_in_time(job))
+        try:
+            await self._run_attempts(job)
+        finally:
+            if timer.active():
+                timer.cancel()
+            if not job.done:
+                self._refuse_or_fail(job, "internal error")
+
+    async def _run_attempts(self, job: Job) -> None:
+        while not job.done and not job.connection.gone:
+            picked = await self._picker.pick(job)
+            if job.done or job.connection.gone:
+                return
+            if picked.refusal is not None:
+                self._refuse(job, picked.refusal)
+                return
+            if self._resend_is_barred(job):
+                self._refuse_or_fail(job, "repeats used up")
+                return
+            outcome = await self._attempt(job, picked)
+            job.outcomes.append(outcome)
+            if job.done:
+                return
+            step = decide_next(outcome, repeatable=job.repeatable)
+            if step is Next.TRY_OTHER and self._may_go_on(job, outcome):
+                continue
+            if step is Next.ANSWER or outcome is Outcome.FAILED:
+                self._pass_answer(job)
+                return
+            self._refuse_or_fail(job, outcome.value)
+            return
+
+    def _resend_is_barred(self, job: Job) -> bool:
+        """Tell whether a request that was sent before may not be sent once more."""
+        if not any(was_sent(outcome) for outcome in job.outcomes):
+            return False
+        return not self._allowance.spend(job.service, self._now())
+
+    def _may_go_on(self, job: Job, outcome: Outcome) -> bool:
+        sent = sum(1 for found in job.outcomes if was_sent(found))
+        ran = sum(1 for found in job.outcomes if may_have_run(found))
+        if sent >= MOST_SENDS or ran >= job.route.attempts:
+            return False
+        if job.sink.begun and not (job.route.can_resume and job.sink.events.last_id):
+            return False
+        return outcome is Outcome.NOT_REACHED or job.left_ms(self._now()) > 50.0
+
+    async def _attempt(self, job: Job, picked: Picked) -> Outcome:
+        assert picked.upstream is not None
+        upstream = picked.upstream
+        try:
+            connection = await self._pool.acquire(upstream.address)
+        except UpstreamNotReachedError:
+            self._note_trouble(upstream, unreached=True)
+            job.excluded.add(upstream.name)
+            return Outcome.NOT_REACHED
+        if job.done or job.connection.gone or upstream.removed_at is not None:
+            self._pool.release(upstream.address, connection)
+            job.excluded.add(upstream.name)
+            return Outcome.CALLER_GONE if job.connection.gone else Outcome.NOT_REACHED
+        return await self._exchange(job, picked, upstream, connection)
+
+    async def _exchange(
+        self, job: Job, picked: Picked, upstream: Upstream, connection: UpstreamConnection
+    ) -> Outcome:
+        now = self._now()
+        attempt = Attempt(tokens=picked.own_tokens, priority=job.route.priority, sent_at=now)
+        job.sink.reset()
+        job.sink.on_first_data = lambda: self._note_first_token(job, picked, upstream, attempt)
+        upstream.begin(attempt)
+        if job.generation is not None:
+            upstream.cache.add(job.item, job.generation.parts)
+        if job.cancellable:
+            job.connection.on_gone = connection.cancel
+        job.running = True
+        ended = connection.exchange(
+            job.request.method,
+            job.request.target,
+            self._headers(job, upstream, now),
+            job.request.body,
+            job.sink,
+        )
+        job.on_timeout = connection.cancel if job.cancellable else None
+        end = await ended
+        job.running = False
+        job.on_timeout = None
+        if not job.done:
+            job.connection.on_gone = None
+        upstream.end(attempt)
+        self._pool.release(upstream.address, connection)
+        outcome = self._judge(job, upstream, end)
+        self._note_outcome(job, upstream, outcome, now, picked)
+        return outcome
+
+    def _headers(self, job: Job, upstream: Upstream, now: float) -> names.Headers:
+        left = int(max(1.0, job.left_ms(now) - ENGINE_DEADLINE_MARGIN_MS))
+        headers = [
+            *job.headers,
+            (b"X-Deadline-Ms", str(left).encode()),
+            (b"X-Expect-Instance", upstream.name.encode()),
+        ]
+        if job.generation is not None:
+            priority = min(9, max(0, job.route.priority))
+            headers.append((b"X-Request-Priority", str(priority).encode()))
+        if job.sink.begun and job.sink.events.last_id is not None:
+            headers = [(k, v) for k, v in headers if k.lower() != names.LAST_EVENT_ID]
+            headers.append((b"Last-Event-Id", job.sink.events.last_id))
+        if job.request.body or job.request.method not in (b"GET", b"HEAD", b"DELETE"):
+            headers.append((b"Content-Length", str(len(job.request.body)).encode()))
+        return headers
+
+    def _judge(self, job: Job, upstream: Upstream, end: ExchangeEnd) -> Outcome:
+        sink = job.sink
+        if end is ExchangeEnd.CANCELLED:
+            return Outcome.CALLER_GONE if job.connection.gone else Outcome.TIMED_OUT
+        if end is not ExchangeEnd.WHOLE:
+            return Outcome.UNKNOWN
+        self._read_load(upstream, sink.headers)
+        if sink.status == 421:
+            self._note_absent(job, upstream, sink.headers)
+            return Outcome.ABSENT
+        if names.find_header(sink.headers, names.NOT_RUN) is not None:
+            return Outcome.NOT_RUN
+        if sink.succeeded:
+            if job.route.streams and sink.events.rest:
+                return Outcome.UNKNOWN
+            return Outcome.ANSWERED
+        if sink.status in names.REFUSALS or 300 <= sink.status < 400:
+            return Outcome.UNKNOWN
+        return Outcome.FAILED
+
+    def _note_absent(self, job: Job, upstream: Upstream, headers: names.Headers) -> None:
+        instance = names.find_header(headers, names.INSTANCE)
+        if instance is not None and instance != upstream.name.encode():
+            self._directory.mark_leaving(upstream)
+            return
+        if job.generation is not None:
+            upstream.missing[job.item] = upstream.held.version
+
+    def _read_load(self, upstream: Upstream, headers: names.Headers) -> None:
+        value = names.find_header(headers, names.LOAD)
+        parts = value.split(b",") if value else []
+        if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+            upstream.take_load(int(parts[0]), int(parts[1]), self._now())
+
+    def _note_outcome(
+        self, job: Job, upstream: Upstream, outcome: Outcome, sent_at: float, picked: Picked
+    ) -> None:
+        now = self._now()
+        if outcome is Outcome.ANSWERED:
+            upstream.suspicion = note_success(upstream.suspicion)
+        elif outcome in (Outcome.UNKNOWN, Outcome.FAILED):
+            self._note_trouble(upstream, unreached=False)
+        if outcome in (Outcome.ABSENT, Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.FAILED):
+            job.excluded.add(upstream.name)
+        log_event(
+            "attempt",
+            request=job.request_id.decode("latin-1"),
+            upstream=upstream.name,
+            item=job.item,
+            outcome=outcome.name,
+            status=job.sink.status,
+            expected_ms=int(picked.expected_ms),
+            took_ms=int((now - sent_at) * 1000),
+            waited_ms=int((sent_at - job.request.arrived_at) * 1000),
+        )
+
+    def _note_trouble(self, upstream: Upstream, *, unreached: bool) -> None:
+        now = self._now()
+        before = upstream.suspicion.resting(now)
+        upstream.suspicion = note_failure(upstream.suspicion, now, unreached=unreached)
+        if unreached:
+            self._pool.forget(upstream.address)
+        if upstream.suspicion.resting(now) and not before:
+            log_event(
+                "upstream_suspected",
+                upstream=upstream.name,
+                share=round(upstream.suspicion.share, 2),
+                unreached=unreached,
+            )
+
+    def _note_first_token(
+        self, job: Job, picked: Picked, upstream: Upstream, attempt: Attempt
+    ) -> None:
+        upstream.note_first_token(attempt)
+        if job.generation is not None and picked.work is not None and job.sink.succeeded:
+            took_ms = (self._now() - attempt.sent_at) * 1000.0
+            upstream.rate = observe_rate(upstream.rate, picked.work, took_ms)
+
+    def _pass_answer(self, job: Job) -> None:
+        if job.done or job.connection.gone:
+            return
+        job.done = True
+        sink = job.sink
+        if sink.begun or (sink.succeeded and job.route.streams):
+            sink.finish_stream()
+            return
+        job.connection.answer(sink.status, names.pass_headers(sink.headers), sink.body)
+
+    def _refuse(self, job: Job, refusal: Refusal) -> None:
+        job.retry_after_s = refusal.retry_after_s
+        self._refuse_or_fail(job, refusal.reason)
+
+    def _refuse_or_fail(self, job: Job, reason: str) -> None:
+        """Give the final answer: "not run" only if that is certain."""
+        if job.done:
+            return
+        job.done = True
+        if job.connection.gone:
+            return
+        ran = any(may_have_run(outcome) for outcome in job.outcomes) or job.running
+        log_event(
+            "request_failed",
+            request=job.request_id.decode("latin-1"),
+            route=job.route.name,
+            item=job.item,
+            reason=reason,
+            ran=ran,
+            after_ms=int((self._now() - job.request.arrived_at) * 1000),
+        )
+        if job.sink.begun:
+            job.connection.break_off()
+            return
+        if not ran:
+            answer = final_answers.describe_refusal(job.request_id, reason, job.retry_after_s)
+        else:
+            timed_out = Outcome.TIMED_OUT in job.outcomes or job.running
+            answer = final_answers.describe_failure(
+                504 if timed_out else 502, job.request_id, reason
+            )
+        job.connection.answer(*answer)
+
+    def _end_in_time(self, job: Job) -> None:
+        """Give the final answer when the route's or the caller's time is up."""
+        if job.done:
+            return
+        on_timeout, job.on_timeout = job.on_timeout, None
+        self._refuse_or_fail(job, "time is up")
+        if on_timeout is not None:
+            on_timeout()
+        self._picker.wake()
+
+    def _call_later(self, seconds: float, run: Any) -> Any:
+        reactor: Any = self._reactor
+        return reactor.callLater(max(0.0, seconds), run)
+
+    def _now(self) -> float:
+        return self._reactor.seconds()  # type: ignore[attr-defined,no-any-return]
--- /dev/null
+++ b/src/cactusshunt/requests/upstream_picker.py
@@ -0,0 +1,187 @@
+"""Finds the upstream of the next attempt, or waits until its model is placed."""
+
+from __future__ import annotations
+
+import random
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from cactusshunt.requests.admission import Refusal
+from cactusshunt.requests.admission import judge_expected_wait
+from cactusshunt.requests.admission import placement_wait_s
+from cactusshunt.routing.choice import Candidate
+from cactusshunt.routing.choice import choose_engine
+from cactusshunt.routing.choice import choose_service_upstream
+from cactusshunt.routing.upstream import Upstream  # noqa: TC001
+from cactusshunt.routing.work_ahead import WorkAhead  # noqa: TC001
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.base import ReactorBase
+
+    from cactusshunt.placement.demand_meter import DemandMeter
+    from cactusshunt.requests.job import Job
+    from cactusshunt.routing.directory import Directory
+
+CONNECTIONS_PART = 0.8  # of an upstream's limit that all VMs together may hold open
+
+
+@dataclass(frozen=True, kw_only=True)
+class Picked:
+    """An upstream with what is expected there, or a refusal."""
+
+    upstream: Upstream | None = None
+    refusal: Refusal | None = None
+    expected_ms: float = 0.0
+    own_tokens: float = 0.0
+    work: WorkAhead | None = None
+
+
+class UpstreamPicker:
+    """Turns the directory's records into a choice; requests for absent items wait here."""
+
+    def __init__(
+        self,
+        *,
+        reactor: ReactorBase,
+        directory: Directory,
+        meter: DemandMeter,
+        availability_zone: str,
+        hurry: Callable[[], None],
+    ) -> None:
+        self._reactor = reactor
+        self._directory = directory
+        self._meter = meter
+        self._zone = availability_zone
+        self._hurry = hurry
+        self._random = random.Random()
+        self._waiting: set[Deferred[None]] = set()
+
+    def wake(self) -> None:
+        """Let waiting requests look again."""
+        waiting, self._waiting = self._waiting, set()
+        for deferred in waiting:
+            deferred.callback(None)
+
+    async def pick(self, job: Job) -> Picked:
+        """Return the upstream for the next attempt, after a wait if need be."""
+        if job.generation is None:
+            return self._pick_service_upstream(job)
+        picked = self._pick_engine(job)
+        if picked is not None:
+            return picked
+        key = (job.service, job.item)
+        self._meter.begin_wait(key)
+        if job.generation.adapter:
+            self._meter.begin_wait((job.service, job.generation.model))
+        self._hurry()
+        try:
+            return await self._wait_for_engine(job)
+        finally:
+            self._meter.end_wait(key)
+            if job.generation.adapter:
+                self._meter.end_wait((job.service, job.generation.model))
+
+    async def _wait_for_engine(self, job: Job) -> Picked:
+        now = self._now()
+        wait_s = placement_wait_s(target_ms=job.route.target_latency_ms, left_ms=job.left_ms(now))
+        until = now + wait_s
+        while not job.done and not job.connection.gone:
+            left = until - self._now()
+            if left <= 0.0:
+                break
+            await self._next_change(left)
+            picked = self._pick_engine(job)
+            if picked is not None:
+                return picked
+        return Picked(refusal=Refusal(reason="model is not placed", retry_after_s=0.5))
+
+    def _next_change(self, seconds: float) -> Deferred[None]:
+        changed: Deferred[None] = Deferred()
+        self._waiting.add(changed)
+        reactor: Any = self._reactor
+        timer = reactor.callLater(seconds, self._end_wait, changed)
+
+        def stop(result: None) -> None:
+            if timer.active():
+                timer.cancel()
+
+        changed.addCallback(stop)
+        return changed
+
+    def _end_wait(self, changed: Deferred[None]) -> None:
+        if changed in self._waiting:
+            self._waiting.discard(changed)
+            changed.callback(None)
+
+    def _pick_service_upstream(self, job: Job) -> Picked:
+        now = self._now()
+        usable = self._without_troubled(self._directory.usable(job.service), job, now)
+        if not usable:
+            return Picked(refusal=Refusal(reason="no upstream", retry_after_s=0.3))
+        candidates = [self._describe(found, job, now) for found in usable]
+        slots = {found.name: found.entry.slots for found in usable}
+        choice = choose_service_upstream(candidates, slots, self._random)
+        assert choice is not None
+        return Picked(upstream=self._directory.find(choice.name))
+
+    def _pick_engine(self, job: Job) -> Picked | None:
+        """Return a choice, a refusal, or ``None`` if no engine holds what is asked for."""
+        assert job.generation is not None
+        now = self._now()
+        holders = [
+            found
+            for found in self._directory.usable(job.service)
+            if found.holds(job.generation.model, job.generation.adapter, now)
+        ]
+        usable = self._without_troubled(holders, job, now)
+        if not usable:
+            return None
+        candidates = {found.name: self._describe(found, job, now) for found in usable}
+        choice = choose_engine(list(candidates.values()), job.route.target_latency_ms, self._random)
+        assert choice is not None
+        chosen = candidates[choice.name]
+        refusal = judge_expected_wait(
+            expected_ms=choice.expected_ms,
+            elapsed_ms=(now - job.request.arrived_at) * 1000.0,
+            target_ms=job.route.target_latency_ms,
+            left_ms=job.left_ms(now),
+        )
+        if refusal is not None:
+            return Picked(refusal=refusal)
+        return Picked(
+            upstream=self._directory.find(choice.name),
+            expected_ms=choice.expected_ms,
+            own_tokens=chosen.own_tokens,
+            work=chosen.work,
+        )
+
+    def _without_troubled(self, upstreams: list[Upstream], job: Job, now: float) -> list[Upstream]:
+        """Leave out what was tried and what rests; what rests is used where nothing else is."""
+        fresh = [found for found in upstreams if found.name not in job.excluded]
+        calm = [found for found in fresh if not found.suspicion.resting(now)]
+        return calm or fresh
+
+    def _describe(self, upstream: Upstream, job: Job, now: float) -> Candidate:
+        own_tokens = 0.0
+        if job.generation is not None:
+            prompt = job.generation.prompt_tokens or sum(n for _, n in job.generation.parts)
+            cached = upstream.cache.cached_tokens(job.item, job.generation.parts)
+            own_tokens = max(16.0, prompt - cached)
+        return Candidate(
+            name=upstream.name,
+            same_zone=upstream.entry.zone == self._zone,
+            pending_tokens=upstream.pending_tokens(job.route.priority, now),
+            own_tokens=own_tokens,
+            running=upstream.total_running(now),
+            tokens_per_ms=upstream.rate,
+            failure_share=upstream.suspicion.share,
+        )
+
+    def _now(self) -> float:
+        return self._reactor.seconds()  # type: ignore[attr-defined,no-any-return]
--- /dev/null
+++ b/src/cactusshunt/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Choice of an upstream."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusshunt/routing/upstream.py
@@ -0,0 +1,152 @@
+"""One upstream as this VM knows it: its entry, its holdings, its work and its failures."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from cactusshunt.platform.boot import split_address
+from cactusshunt.platform.documents import READY
+from cactusshunt.routing.prompt_cache import PromptCache
+from cactusshunt.routing.suspicion import Suspicion
+from cactusshunt.routing.work_ahead import USUAL_TOKENS_PER_MS
+
+if TYPE_CHECKING:
+    from cactusshunt.http1.connection_pool import Address
+    from cactusshunt.membership.messages import EngineWork
+    from cactusshunt.platform.documents import EngineEntry
+
+PEER_WORD_S = 1.5  # after which a VM's word about its work counts no more
+REPORT_WORD_S = 0.5  # after which a load header counts no more
+
+
+@dataclass(frozen=True, kw_only=True)
+class Attempt:
+    """One request at an upstream: uncached tokens, priority, time of sending."""
+
+    tokens: float
+    priority: int
+    sent_at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class HeldItems:
+    """Models with their adapters in one start of an engine, and what is coming.
+
+    ``order`` is the holder's token and the number of orders accepted, where the holder said so;
+    ``version`` counts the words taken.
+    """
+
+    born: int = 0
+    order: tuple[int, int] = (0, 0)
+    version: int = 0
+    said_at: float = -1e9
+    models: dict[str, frozenset[str]] = field(default_factory=dict)
+    coming: dict[str, float] = field(default_factory=dict)
+
+    def holds(self, model: str, adapter: str, now: float) -> bool:
+        """Tell whether a request for the model, and its adapter if any, can run."""
+        adapters = self.models.get(model)
+        if adapters is None or not adapter:
+            return adapters is not None
+        return adapter in adapters and self.coming.get(f"{model}/{adapter}", 0.0) <= now
+
+
+class Upstream:
+    """Mutable record; decisions take numbers from it and never change it."""
+
+    def __init__(self, *, name: str, entry: EngineEntry, now: float) -> None:
+        self.name = name
+        self.entry = entry
+        self.address: Address = split_address(entry.address)
+        self.since = now
+        self.removed_at: float | None = None
+        self.held = HeldItems()
+        self.missing: dict[str, int] = {}
+        self.suspicion = Suspicion()
+        self.cache = PromptCache()
+        self.rate = USUAL_TOKENS_PER_MS
+        self._waiting: set[Attempt] = set()
+        self._running = 0
+        self._peer_work: dict[str, tuple[float, EngineWork]] = {}
+        self._reported: tuple[float, int, int] | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the upstream takes new work by its own word."""
+        return self.entry.state == READY
+
+    @property
+    def running(self) -> int:
+        """Return this VM's requests at the upstream."""
+        return self._running
+
+    def holds(self, model: str, adapter: str, now: float) -> bool:
+        """Tell whether the items are there, unless the upstream denied it since."""
+        item = f"{model}/{adapter}" if adapter else model
+        if self.missing.get(item, -1) >= self.held.version:
+            return False
+        return self.held.holds(model, adapter, now)
+
+    def begin(self, attempt: Attempt) -> None:
+        """Count a request that was sent."""
+        self._waiting.add(attempt)
+        self._running += 1
+
+    def note_first_token(self, attempt: Attempt) -> None:
+        """Count a request whose prompt has been read."""
+        self._waiting.discard(attempt)
+
+    def end(self, attempt: Attempt) -> None:
+        """Count a request's end."""
+        self._waiting.discard(attempt)
+        self._running -= 1
+
+    def own_pending(self) -> dict[int, int]:
+        """Return this VM's tokens that wait for their first token, by priority."""
+        pending: dict[int, int] = {}
+        for attempt in self._waiting:
+            pending[attempt.priority] = pending.get(attempt.priority, 0) + int(attempt.tokens)
+        return pending
+
+    def pending_tokens(self, priority: int, now: float) -> float:
+        """Return the tokens ahead of a request of a priority, of all VMs as last heard."""
+        total = 0.0
+        for attempt in self._waiting:
+            if attempt.priority <= priority:
+                total += attempt.tokens
+        for heard_at, work in self._peer_work.values():
+            if now - heard_at < PEER_WORD_S:
+                tokens = sum(count for rank, count in work.pending.items() if rank <= priority)
+                total += max(0.0, tokens - (now - heard_at) * 1000.0 * self.rate)
+        return total
+
+    def total_running(self, now: float) -> float:
+        """Return the requests of all VMs, as last heard or as the upstream said."""
+        total = self._running + sum(
+            work.running
+            for heard_at, work in self._peer_work.values()
+            if now - heard_at < PEER_WORD_S
+        )
+        if self._reported is not None and now - self._reported[0] < REPORT_WORD_S:
+            return max(total, self._reported[1] + self._reported[2])
+        return total
+
+    def take_peer_work(self, vm: str, work: EngineWork | None, now: float) -> None:
+        """Take another VM's word about its work here; ``None`` means none."""
+        if work is None:
+            self._peer_work.pop(vm, None)
+        else:
+            self._peer_work[vm] = (now, work)
+
+    def take_load(self, running: int, waiting: int, now: float) -> None:
+        """Take the load that the upstream put on an answer."""
+        self._reported = (now, running, waiting)
+
+    def forget_state(self) -> None:
+        """Forget what a start of the upstream held and learnt."""
+        self.held = HeldItems()
+        self.missing = {}
+        self.cache.clear()
+        self.suspicion = Suspicion()
