Keep the replicas that load needs; reserve the room that was made

Cause: a model that was absent made every engine drop something in turn, since orders under way did not count; hot models lost replicas to rare ones.

--- a/src/cactusshunt/configuration/platform_view.py
+++ b/src/cactusshunt/configuration/platform_view.py
@@ -23,6 +23,7 @@
 CALL_TIMEOUT_S = 0.8  # far above the store's usual answer, below what a configuration may take
 FIRST_PAUSE_S = 0.08
 LONGEST_PAUSE_S = 0.6
+GATHER_S = 0.25  # changes that come in quick succession are read in one call
 WAIT_PART = 0.65  # of the time in which a configuration must be in force
 
 
@@ -111,6 +112,8 @@
             self._take(item)
         self._revision = max(self._revision, found.revision)
         self._listener.store_answered()
+        if found.items:
+            await self._pause(GATHER_S)
 
     def _take(self, item: StoredItem) -> None:
         if item.value is None:
--- a/src/cactusshunt/placement/adapter_plan.py
+++ b/src/cactusshunt/placement/adapter_plan.py
@@ -15,6 +15,7 @@
     from cactusshunt.placement.fleet_state import EngineState
     from cactusshunt.placement.fleet_state import FleetState
 
+RECENT_S = 2.0  # an adapter asked for within this time is placed where room is free
 REPLICA_TOKENS_PER_MS = 3.0  # demand that one replica of an adapter should take
 
 
@@ -32,9 +33,15 @@
     for (model, adapter), demand in wanted:
         holders = sum(1 for engine in state.engines if adapter in engine.models.get(model, ()))
         enough = 1 + int(demand.tokens_per_ms / REPLICA_TOKENS_PER_MS)
-        if holders >= enough or (holders and not demand.waiting and holders >= enough):
+        asked = demand.waiting > 0 or state.now - demand.last_asked_at < RECENT_S
+        if not asked or holders >= enough:
             continue
-        hosts = [engine for engine in engines.values() if _lacks(engine, model, adapter)]
+        may_evict = demand.waiting > 0 and not holders
+        hosts = [
+            engine
+            for engine in engines.values()
+            if _lacks(engine, model, adapter) and (may_evict or not _is_full(engine))
+        ]
         if not hosts:
             continue
         engine = min(hosts, key=lambda host: (_is_full(host), host.running, host.name))
--- a/src/cactusshunt/placement/engine_ledger.py
+++ b/src/cactusshunt/placement/engine_ledger.py
@@ -14,6 +14,7 @@
     from cactusshunt.platform.documents import EngineReport
 
 ENTRY_LAG_S = 3.0  # engines write to the store about every second, seen up to a second later
+RESERVATION_S = 6.0  # an unload waits for the runs of its model, streams of seconds
 ADAPTER_READY_S = 0.02  # twice the usual time of an adapter's load
 
 
@@ -37,6 +38,8 @@
     report_due_at: float | None = 0.0
     rests_until: float = 0.0
     coming: dict[str, float] = field(default_factory=dict)
+    reserved_for: str | None = None
+    reserved_until: float = 0.0
     changed: bool = True
     accepted_at: float = -1e9
     compared: set[str] | None = None
@@ -107,10 +110,13 @@
             return
         self.busy = True
         if order.load:
+            self.reserved_for = None
             self.coming[order.model] = now + load_s
             self.report_due_at = now + load_s + 0.02
         else:
             self.models.pop(order.model, None)
+            self.reserved_for = order.makes_room_for
+            self.reserved_until = now + RESERVATION_S
             self.report_due_at = now + 0.12
 
     def list_models(self) -> dict[str, list[str]]:
@@ -129,6 +135,8 @@
             sequence=self.sequence,
             busy=not self.can_take_order(now),
             models={model: frozenset(adapters) for model, adapters in self.models.items()},
+            coming=frozenset(item for item in self.coming if "/" not in item),
+            reserved_for=self.reserved_for if now < self.reserved_until else None,
             in_memory=self.in_memory,
             on_disk=self.on_disk,
             running=running,
--- a/src/cactusshunt/placement/fleet_state.py
+++ b/src/cactusshunt/placement/fleet_state.py
@@ -30,8 +30,8 @@
 class EngineState:
     """An engine at one ``sequence`` of accepted orders.
 
-    ``models`` maps held models to their adapters; ``last_used`` gives the steady-clock time at
-    which an item was asked for last, over all VMs.
+    ``models`` maps held models to their adapters; ``coming`` are models under way;
+    ``reserved_for`` names the model for which another one was dropped.
     """
 
     name: str
@@ -41,6 +41,8 @@
     sequence: int
     busy: bool
     models: dict[str, frozenset[str]]
+    coming: frozenset[str] = frozenset()
+    reserved_for: str | None = None
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     running: float = 0.0
@@ -98,4 +100,5 @@
     adapter: str = ""
     expected: int
     source: WeightSource = WeightSource.MEMORY
+    makes_room_for: str | None = None
     reason: str = ""
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -214,13 +214,14 @@
         if outcome is Outcome.ANSWERED:
             upstream.suspicion = note_success(upstream.suspicion)
         elif outcome in (Outcome.UNKNOWN, Outcome.FAILED):
-            self._note_trouble(upstream, unreached=False)
+            self._note_trouble(upstream, unreached=False, own_error=outcome is Outcome.FAILED)
         if outcome in (Outcome.ABSENT, Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.FAILED):
             job.excluded.add(upstream.name)
         log_event(
             "attempt",
             request=job.request_id.decode("latin-1"),
             upstream=upstream.name,
+            availability_zone=upstream.entry.zone,
             item=job.item,
             outcome=outcome.name,
             status=job.sink.status,
@@ -229,10 +230,14 @@
             waited_ms=int((sent_at - job.request.arrived_at) * 1000),
         )
 
-    def _note_trouble(self, upstream: Upstream, *, unreached: bool) -> None:
+    def _note_trouble(
+        self, upstream: Upstream, *, unreached: bool, own_error: bool = False
+    ) -> None:
         now = self._now()
         before = upstream.suspicion.resting(now)
-        upstream.suspicion = note_failure(upstream.suspicion, now, unreached=unreached)
+        upstream.suspicion = note_failure(
+            upstream.suspicion, now, unreached=unreached, own_error=own_error
+        )
         if unreached:
             self._pool.forget(upstream.address)
         if upstream.suspicion.resting(now) and not before:
--- a/src/cactusshunt/routing/suspicion.py
+++ b/src/cactusshunt/routing/suspicion.py
@@ -8,7 +8,8 @@
 
 from dataclasses import dataclass
 
-FAILURE_WEIGHT = 0.25  # of the newest outcome in the failure share
+FAILURE_WEIGHT = 0.25  # of a broken answer in the failure share
+ERROR_WEIGHT = 0.1  # of an upstream's own failure, which may lie in the request
 SUSPECT_SHARE = 0.35  # failure share above which an upstream is left alone
 FIRST_REST_S = 0.4
 LONGEST_REST_S = 4.0  # an upstream that restarts is back within seconds
@@ -31,13 +32,16 @@
     """Return the suspicion after a good answer."""
     if not suspicion.share and not suspicion.rests:
         return suspicion
-    share = suspicion.share * (1.0 - FAILURE_WEIGHT)
+    share = suspicion.share * (1.0 - ERROR_WEIGHT)
     return Suspicion(share=share if share > 0.02 else 0.0, rests=max(0, suspicion.rests - 1))
 
 
-def note_failure(suspicion: Suspicion, now: float, *, unreached: bool = False) -> Suspicion:
+def note_failure(
+    suspicion: Suspicion, now: float, *, unreached: bool = False, own_error: bool = False
+) -> Suspicion:
     """Return the suspicion after a failed answer; one that was not reached rests at once."""
-    share = suspicion.share + (1.0 - suspicion.share) * FAILURE_WEIGHT
+    weight = ERROR_WEIGHT if own_error else FAILURE_WEIGHT
+    share = suspicion.share + (1.0 - suspicion.share) * weight
     if not unreached and share < SUSPECT_SHARE:
         return Suspicion(share=share, rests=suspicion.rests, rests_until=suspicion.rests_until)
     if suspicion.resting(now):
