Value replicas by what callers ask, hand the right to order over sooner, refuse by what is expected

Cause: rare requests drove out models that were about to be asked for; after a cut of the holder nobody ordered for 5 s; requests waited for models that no engine was loading. Ruled out: too few replicas in general (with the platform's first placement left alone 95% of the summaries came in time).

--- a/src/cactusshunt/configuration/platform_view.py
+++ b/src/cactusshunt/configuration/platform_view.py
@@ -4,6 +4,7 @@
 
 import random
 
+from traceback import format_exc
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Protocol as Interface
@@ -13,12 +14,12 @@
 from cactusshunt.exceptions import HistoryLostError
 from cactusshunt.exceptions import StoreError
 from cactusshunt.node_log import log_event
+from cactusshunt.platform.store import StoredItem
 
 if TYPE_CHECKING:
     from twisted.internet.base import ReactorBase
 
     from cactusshunt.platform.store import PlatformStore
-    from cactusshunt.platform.store import StoredItem
 
 CALL_TIMEOUT_S = 0.8  # far above the store's usual answer, below what a configuration may take
 FIRST_PAUSE_S = 0.08
@@ -89,7 +90,7 @@
                 await self._pause(min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** min(failures, 4)))
 
     async def _read_all(self) -> None:
-        now = self._reactor.seconds()  # type: ignore[attr-defined]
+        now = self._reactor.seconds()
         found = await self._store.read_prefix("", deadline=now + CALL_TIMEOUT_S * 3)
         present = {item.key for item in found.items}
         for item in found.items:
@@ -101,7 +102,7 @@
         self._listener.store_answered()
 
     async def _wait_for_changes(self) -> None:
-        now = self._reactor.seconds()  # type: ignore[attr-defined]
+        now = self._reactor.seconds()
         found = await self._store.wait_for_changes(
             "",
             after=self._revision,
@@ -122,15 +123,20 @@
         if self._revisions.get(item.key, 0) >= item.revision:
             return
         self._revisions[item.key] = item.revision
-        self._listener.item_changed(item)
+        self._hand_on(item)
 
     def _forget(self, key: str, revision: int) -> None:
-        from cactusshunt.platform.store import StoredItem
-
         if self._revisions.get(key, 0) > revision:
             return
         if self._revisions.pop(key, None) is not None:
-            self._listener.item_changed(StoredItem(key=key, value=None, revision=revision))
+            self._hand_on(StoredItem(key=key, value=None, revision=revision))
+
+    def _hand_on(self, item: StoredItem) -> None:
+        """Hand a change on; one that its reader fails at must not end the view."""
+        try:
+            self._listener.item_changed(item)
+        except Exception as error:
+            log_event("change_failed", key=item.key, error=repr(error), trace=format_exc(limit=-4))
 
     def _pause(self, seconds: float) -> Deferred[None]:
         paused: Deferred[None] = Deferred()
--- a/src/cactusshunt/configuration/routes.py
+++ b/src/cactusshunt/configuration/routes.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import random
-
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    import random
+
     from cactusshunt.platform.documents import Configuration
     from cactusshunt.platform.documents import Route
 
--- a/src/cactusshunt/http1/collected_answer.py
+++ b/src/cactusshunt/http1/collected_answer.py
@@ -64,7 +64,7 @@
         framed.append((b"Content-Length", str(len(body)).encode()))
     ended = connection.exchange(method, target, framed, body, answer)
     left = max(0.0, deadline - reactor.seconds())
-    timer = reactor.callLater(left, connection.cancel)  # type: ignore[attr-defined]
+    timer = reactor.callLater(left, connection.cancel)
     end = await ended
     if timer.active():
         timer.cancel()
--- a/src/cactusshunt/http1/connection_pool.py
+++ b/src/cactusshunt/http1/connection_pool.py
@@ -90,7 +90,7 @@
     async def _connect(self, address: Address) -> UpstreamConnection:
         self.opened += 1
         endpoint = TCP4ClientEndpoint(
-            self._reactor, address[0], address[1], timeout=self._connect_timeout_s  # type: ignore[arg-type]
+            self._reactor, address[0], address[1], timeout=self._connect_timeout_s
         )
         connection: Any = await endpoint.connect(Factory.forProtocol(UpstreamConnection))
         return connection  # type: ignore[no-any-return]
--- a/src/cactusshunt/membership/membership_task.py
+++ b/src/cactusshunt/membership/membership_task.py
@@ -39,6 +39,7 @@
 VM_PREFIX = OWN_PREFIX + "vm/"
 HOLDER_KEY = OWN_PREFIX + "holder"
 LAST_HOLDER_KEY = OWN_PREFIX + "last-holder"
+FORMER_HOLDERS = 3  # kept besides the present one; more can't take over within one lease's turn
 LEASE_S = 1.6  # two lost renewals of a quarter each leave a quarter to stop in
 CALL_TIMEOUT_S = 0.5
 SLEEP_TOLERANCE_S = 0.25  # of a VM's suspension, above which its right counts as lapsed
@@ -72,7 +73,7 @@
         self._renewed_at = 0.0
         self._registered = False
         self._holder: tuple[str, int] | None = None
-        self._last_holders: list[tuple[int, str]] = []
+        self._former: list[tuple[int, list[str]]] = []
         self._vacant_since: float | None = None
         self._synced = False
         self._tenure = Tenure()
@@ -107,8 +108,8 @@
         if item.key == HOLDER_KEY:
             self._take_holder(item)
         elif item.key == LAST_HOLDER_KEY:
-            name = (item.value or b"").decode(errors="replace")
-            self._last_holders = [*self._last_holders[-1:], (item.revision, name)]
+            names = (item.value or b"").decode(errors="replace").split(",")
+            self._former = [*self._former[-1:], (item.revision, [name for name in names if name])]
         elif item.key.startswith(VM_PREFIX):
             self._take_vm(item)
 
@@ -166,10 +167,11 @@
         if self._now() < self._vacant_since + delay:
             return
         value = f"{self._vm}/{self._incarnation}".encode()
+        former = [*self._former_before(None)[-FORMER_HOLDERS:], self._vm]
         await self._store.commit(
             expected={HOLDER_KEY: ABSENT},
             puts={HOLDER_KEY: value},
-            unleased={LAST_HOLDER_KEY: self._vm.encode()},
+            unleased={LAST_HOLDER_KEY: ",".join(former).encode()},
             lease=self._lease,
             deadline=self._now() + CALL_TIMEOUT_S,
         )
@@ -191,21 +193,25 @@
             return
         if self._tenure.token == item.revision:
             return
-        before = [name for revision, name in self._last_holders if revision < item.revision]
-        fresh = not before or before[-1] == self._vm
+        former = self._former_before(item.revision)
         self._tenure = begin_tenure(
             token=item.revision,
             now=now,
             renewed_at=self._renewed_at,
             lease_s=self._lease_s,
             turn_s=self._turn_s,
-            fresh=fresh,
-        )
-        log_event(
-            "right_won", token=item.revision, fresh=fresh, waits_s=self._tenure.begins_at - now
+            vm=self._vm,
+            former=former,
         )
+        waits_s = round(self._tenure.begins_at - now, 3)
+        log_event("right_won", token=item.revision, former=former, waits_s=waits_s)
         self._on_elected()
 
+    def _former_before(self, revision: int | None) -> list[str]:
+        """Return the holders before a revision of the store, the last one last."""
+        known = [names for at, names in self._former if revision is None or at < revision]
+        return known[-1] if known else []
+
     def _take_vm(self, item: StoredItem) -> None:
         vm = item.key.removeprefix(VM_PREFIX)
         if item.value is None:
@@ -228,7 +234,7 @@
         self._tenure = Tenure()
 
     def _now(self) -> float:
-        return self._reactor.seconds()  # type: ignore[attr-defined,no-any-return]
+        return self._reactor.seconds()
 
     def _pause(self, seconds: float) -> Deferred[None]:
         paused: Deferred[None] = Deferred()
--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -18,12 +18,17 @@
 
 
 class ItemDemand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """What callers ask of one model or ``model/adapter``: tokens per ms, and who waits for it."""
+    """What callers ask of one model or ``model/adapter``.
+
+    ``tokens_per_ms`` is the present rate, ``waiting`` counts requests that can't be sent,
+    ``asked`` those since the VM's process started.
+    """
 
     service: str
     item: str
     tokens_per_ms: float
     waiting: int
+    asked: int
 
 
 class Status(msgspec.Struct, frozen=True, kw_only=True, tag="s", array_like=True):
--- a/src/cactusshunt/membership/tenure.py
+++ b/src/cactusshunt/membership/tenure.py
@@ -7,6 +7,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 VALIDITY_PART = 0.55  # of a lease: after it the holder stops, long before the lease can lapse
 RENEWAL_PART = 0.25  # of a lease between two renewals
@@ -32,14 +36,26 @@
 
 
 def begin_tenure(
-    *, token: int, now: float, renewed_at: float, lease_s: float, turn_s: float, fresh: bool
+    *,
+    token: int,
+    now: float,
+    renewed_at: float,
+    lease_s: float,
+    turn_s: float,
+    vm: str,
+    former: Sequence[str],
 ) -> Tenure:
     """Return the right of a new holder.
 
-    It begins after the former holder's last possible order plus ``turn_s``, unless there was no
-    other holder (``fresh``).
+    ``former`` names earlier holders, the last one last. A holder's last possible order comes
+    ``VALIDITY_PART`` of a lease after its right was taken away; a VM that ordered before another
+    one did waits ``turn_s`` more, so that two VMs don't alternate.
     """
-    wait = 0.0 if fresh else turn_s + VALIDITY_PART * lease_s
+    wait = 0.0
+    if former and former[-1] != vm:
+        wait = VALIDITY_PART * lease_s
+        if vm in former:
+            wait += turn_s
     return Tenure(token=token, begins_at=now + wait, ends_at=renewed_at + VALIDITY_PART * lease_s)
 
 
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -53,6 +53,7 @@
 ORDER_TICK_S = 0.05
 STATUS_S = 0.2  # a prompt's prefill takes about half of it
 DEMAND_S = 0.4  # placement follows demand that moves within seconds
+SILENT_EVERY = 8  # words of demand between two that name silent items too, for a new holder
 MANY_VMS = 16  # above it work is told in the own zone only
 HURRY_S = 0.01  # requests that begin to wait together are told in one datagram
 HOUSEKEEPING_S = 1.0
@@ -75,6 +76,7 @@
         self._sent = 0
         self._hurried = False
         self._told_work = False
+        self._demand_words = 0
         self._stopping_since: float | None = None
         self._pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
         self._order_pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
@@ -226,7 +228,7 @@
         host, port = split_address(address)
         factory = Factory()
         factory.noisy = False
-        factory.buildProtocol = lambda addr: CallerConnection(  # type: ignore[method-assign,assignment]
+        factory.buildProtocol = lambda addr: CallerConnection(  # type: ignore[method-assign]
             reactor=self._reactor, handler=handler
         )
         self._reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
@@ -282,9 +284,19 @@
     def _send_demand(self) -> None:
         """Tell the order holder what callers ask for."""
         now = self._now()
+        found = self._meter.read(now)
+        self._demand_words += 1
+        if self._demand_words % SILENT_EVERY == 0:
+            found = dict.fromkeys(self._meter.all_asked(), (0.0, 0)) | found
         demand = [
-            ItemDemand(service=service, item=item, tokens_per_ms=round(rate, 4), waiting=waiting)
-            for (service, item), (rate, waiting) in self._meter.read(now).items()
+            ItemDemand(
+                service=key[0],
+                item=key[1],
+                tokens_per_ms=round(rate, 4),
+                waiting=waiting,
+                asked=self._meter.asked(key),
+            )
+            for key, (rate, waiting) in found.items()
         ]
         message = DemandWord(vm=self._settings.node, items=demand)
         self._orders.board.take(message.vm, message.items, now)
--- a/src/cactusshunt/placement/demand_meter.py
+++ b/src/cactusshunt/placement/demand_meter.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-MEMORY_S = 2.5  # time constant: demand moves between models within seconds
+MEMORY_S = 1.5  # time constant: demand moves between models within seconds
 FADED = 1e-4  # tokens per ms below which an item is forgotten
 
 ItemKey = tuple[str, str]
@@ -24,9 +24,11 @@
     def __init__(self) -> None:
         self._rates: dict[ItemKey, _Rate] = {}
         self._waiting: dict[ItemKey, int] = {}
+        self._asked: dict[ItemKey, int] = {}
 
     def add(self, key: ItemKey, tokens: float, now: float) -> None:
         """Count one request's prompt."""
+        self._asked[key] = self._asked.get(key, 0) + 1
         decayed = self._decayed(key, now)
         self._rates[key] = _Rate(tokens_per_ms=decayed + tokens / (MEMORY_S * 1000.0), at=now)
 
@@ -49,6 +51,14 @@
         keys = self._rates.keys() | self._waiting.keys()
         return {key: (self._decayed(key, now), self._waiting.get(key, 0)) for key in keys}
 
+    def asked(self, key: ItemKey) -> int:
+        """Return how many requests asked for an item since this process started."""
+        return self._asked.get(key, 0)
+
+    def all_asked(self) -> list[ItemKey]:
+        """Return every item that was ever asked for."""
+        return list(self._asked)
+
     def _decayed(self, key: ItemKey, now: float) -> float:
         rate = self._rates.get(key)
         if rate is None:
--- a/src/cactusshunt/placement/engine_ledger.py
+++ b/src/cactusshunt/placement/engine_ledger.py
@@ -14,6 +14,8 @@
     from cactusshunt.platform.documents import EngineReport
 
 ENTRY_LAG_S = 3.0  # engines write to the store about every second, seen up to a second later
+UNLOAD_S = 0.3  # usual time from the order to the answer that room was made
+LATE_S = 1.0  # by which a load may be late before it is no longer expected
 RESERVATION_S = 6.0  # an unload waits for the runs of its model, streams of seconds
 ADAPTER_READY_S = 0.02  # twice the usual time of an adapter's load
 
@@ -92,7 +94,11 @@
         if report.busy:
             self.report_due_at = now + 0.08
             return
-        self.coming = {item: at for item, at in self.coming.items() if "/" in item and at > now}
+        self.coming = {
+            item: at
+            for item, at in self.coming.items()
+            if at > now and ("/" in item or item == self.reserved_for)
+        }
         self.report_due_at = None
 
     def take_accepted(self, order: PlannedOrder, now: float, load_s: float) -> None:
@@ -116,6 +122,8 @@
         else:
             self.models.pop(order.model, None)
             self.reserved_for = order.makes_room_for
+            if order.makes_room_for is not None:
+                self.coming[order.makes_room_for] = now + load_s + UNLOAD_S
             self.reserved_until = now + RESERVATION_S
             self.report_due_at = now + 0.12
 
@@ -135,7 +143,9 @@
             sequence=self.sequence,
             busy=not self.can_take_order(now),
             models={model: frozenset(adapters) for model, adapters in self.models.items()},
-            coming=frozenset(item for item in self.coming if "/" not in item),
+            coming=frozenset(
+                item for item, at in self.coming.items() if "/" not in item and at > now - LATE_S
+            ),
             reserved_for=self.reserved_for if now < self.reserved_until else None,
             in_memory=self.in_memory,
             on_disk=self.on_disk,
--- a/src/cactusshunt/placement/fleet_state.py
+++ b/src/cactusshunt/placement/fleet_state.py
@@ -70,18 +70,31 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Demand:
-    """What all VMs ask of one model: tokens per ms, waiting requests, time of the last ask."""
+    """What all VMs ask of one item: tokens per ms, waiting requests, time of the last ask.
+
+    ``usual_per_s`` is the rate of requests over the last tens of seconds before that ask.
+    """
 
     tokens_per_ms: float = 0.0
     waiting: int = 0
     last_asked_at: float = -1e9
+    usual_per_s: float = 0.0
+
+    @property
+    def ever_asked(self) -> bool:
+        """Tell whether any request for the item is known."""
+        return self.last_asked_at > -1e9
 
 
 @dataclass(frozen=True, kw_only=True)
 class FleetState:
-    """All that a placement decision depends on."""
+    """All that a placement decision depends on.
+
+    ``observed_s`` is the time since demand was first heard of.
+    """
 
     now: float
+    observed_s: float = 1e9
     engines: tuple[EngineState, ...]
     facts: dict[str, ModelFacts]
     demand: dict[str, Demand] = field(default_factory=dict)
--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -20,47 +20,46 @@
     from cactusshunt.placement.fleet_state import EngineState
     from cactusshunt.placement.fleet_state import FleetState
 
-REPLICA_SHARE = 0.3  # of one engine's prefill time that one replica should take
-GROW_MARGIN = 1.25  # times that share before a further replica is placed
-RECENT_S = 6.0  # a model asked for within this time is in use
-KEEP_S = 1.5  # a last replica asked for within this time is not dropped for another model
+EASY_SHARE = 0.22  # of an engine's prefill time, up to which requests don't wait for each other
+FULL_SHARE = 0.75  # at which nearly every request comes late
+TOKENS_PER_REQUEST = 2_000  # a usual prompt, to turn tokens into requests
+UNASKED_PER_S = 0.3  # requests expected of a model that lies here and was not asked for yet
+NEWCOMER_PER_S = 1.0  # more of the same while demand has been watched for moments only
+NEWCOMER_S = 4.0
+SILENT_PER_S = 0.02  # requests expected of a model whose callers seem to be gone
+KEEP_S = 1.5  # a last replica asked for within this time is worth more than an idle one
+KEEP_VALUE = 0.6
+MOVE_PRICE = 0.2  # requests that a move must serve better to be worth its load
+STORE_PRICE = 0.6  # the same for a load from the weight store, if the model is held already
 UNLOAD_S = 0.3  # usual time from the order to the answer that room was made
 STORE_PENALTY_S = 1.0  # loads from the weight store are limited and serve all engines
 SAME_ZONE_S = 0.6  # replicas are spread over zones, since bytes between zones are dear
-NEEDED_VALUE = 2.0  # value of a replica that its model's load needs, in loads
+VICTIM_S = 4.0  # seconds of load time that one request a second is worth
 
 
 @dataclass(frozen=True, kw_only=True)
 class _Need:
     model: str
-    urgency: float
+    gain: float
     absent: bool
 
 
+def strain(load: float, replicas: int) -> float:
+    """Return the share of a model's requests that come late or not at all."""
+    if replicas <= 0:
+        return 1.0
+    return min(1.0, max(0.0, (load / replicas - EASY_SHARE) / (FULL_SHARE - EASY_SHARE)))
+
+
 def plan_models(state: FleetState) -> list[PlannedOrder]:
     """Return the next orders, at most one for each engine that is not busy."""
     planner = _Planner(state)
     planner.fill_reserved()
-    for need in _find_needs(state, planner.expected):
+    for need in planner.find_needs():
         planner.serve(need)
     return planner.orders
 
 
-def _find_needs(state: FleetState, expected: Counter[str]) -> list[_Need]:
-    needs = []
-    for model, demand in state.demand.items():
-        if model not in state.facts:
-            continue
-        held = expected[model]
-        load = demand.tokens_per_ms / state.tokens_per_ms
-        asked = demand.waiting > 0 or state.now - demand.last_asked_at < KEEP_S
-        if held == 0 and asked:
-            needs.append(_Need(model=model, urgency=1e6 + demand.waiting * 10 + load, absent=True))
-        elif held and load / held > REPLICA_SHARE * GROW_MARGIN:
-            needs.append(_Need(model=model, urgency=load / held, absent=False))
-    return sorted(needs, key=lambda need: -need.urgency)
-
-
 class _Planner:
     """Collects orders and keeps count of what they change.
 
@@ -84,10 +83,27 @@
             self.expected.update(held)
             self._zones.update((model, engine.availability_zone) for model in held)
 
+    def find_needs(self) -> list[_Need]:
+        """Return the models of which a further replica would serve requests better."""
+        needs = []
+        for model, demand in self._state.demand.items():
+            held = self.expected[model]
+            if model not in self._state.facts or (not held and not self._is_asked(demand)):
+                continue
+            gain = self._harm(model, held) - self._harm(model, held + 1)
+            if gain > MOVE_PRICE:
+                needs.append(_Need(model=model, gain=gain, absent=held == 0))
+        return sorted(needs, key=lambda need: -need.gain)
+
     def fill_reserved(self) -> None:
-        """Load the models for which room was made."""
-        for engine in list(self._engines.values()):
+        """Load the models for which room was made, those that serve most first."""
+        waiting = [engine for engine in self._state.engines if engine.reserved_for is not None]
+        waiting.sort(key=lambda engine: -self._harm(str(engine.reserved_for), 0))
+        for engine in waiting:
             model = engine.reserved_for
+            if engine.name not in self._engines:
+                self._count_promise(engine)
+                continue
             fact = self._state.facts.get(model) if model is not None else None
             if model is None or fact is None or model in engine.models:
                 continue
@@ -99,8 +115,14 @@
             self.expected[model] -= 1
             self._order(engine, model, None, "room was made")
 
+    def _count_promise(self, engine: EngineState) -> None:
+        """Set a load from the weight store aside for room that is being made."""
+        model = str(engine.reserved_for)
+        if model not in engine.models and engine.source_of(model) is WeightSource.STORE:
+            self._loads_left -= 1
+
     def serve(self, need: _Need) -> None:
-        """Load a model where there is room, else make room on the cheapest engine."""
+        """Load a model where there is room, else make room where that harms least."""
         best: tuple[float, EngineState, str | None] | None = None
         for engine in self._engines.values():
             if need.model in engine.models or engine.reserved_for is not None:
@@ -117,25 +139,29 @@
         """Return the price of a load here in seconds, and the model that goes for it."""
         fact = self._state.facts[need.model]
         source = engine.source_of(need.model)
-        price = fact.load_s[source] + 0.02 * engine.running
+        price = fact.load_s[source] + self._engine_load(engine)
         if (need.model, engine.availability_zone) in self._zones:
             price += SAME_ZONE_S
         if source is WeightSource.STORE:
-            if self._loads_left <= 0:
+            if self._loads_left <= 0 or (not need.absent and need.gain < STORE_PRICE):
                 return None
             price += STORE_PENALTY_S
         if engine.capacity_mb - engine.used_mb(self._state.facts) >= fact.size_mb:
             return price, None
-        candidates = [model for model in engine.models if self._may_drop(model, need)]
-        if not candidates:
+        losses = {model: self._loss(model) for model in engine.models if model != need.model}
+        if not losses:
+            return None
+        victim = min(losses, key=lambda model: losses[model])
+        if need.gain < losses[victim] + MOVE_PRICE:
             return None
-        victim = min(candidates, key=self._value)
-        return price + UNLOAD_S + 4.0 * self._value(victim), victim
+        return price + UNLOAD_S + VICTIM_S * losses[victim], victim
 
     def _order(self, engine: EngineState, model: str, victim: str | None, reason: str) -> None:
         del self._engines[engine.name]
         self.expected[model] += 1
         if victim is not None:
+            if engine.source_of(model) is WeightSource.STORE:
+                self._loads_left -= 1
             self.expected[victim] -= 1
             self.present[victim] -= 1
             self.orders.append(
@@ -163,35 +189,40 @@
             )
         )
 
+    def _is_asked(self, demand: Demand) -> bool:
+        return demand.waiting > 0 or self._state.now - demand.last_asked_at < KEEP_S
+
     def _load(self, model: str) -> float:
         demand = self._state.demand.get(model, Demand())
         return demand.tokens_per_ms / self._state.tokens_per_ms
 
-    def _needed(self, model: str) -> int:
-        """Return how many replicas a model's load needs."""
-        return math.ceil(self._load(model) / REPLICA_SHARE - 0.1)
+    def _engine_load(self, engine: EngineState) -> float:
+        """Return the share of an engine's prefill time that its models take."""
+        return sum(self._load(model) / max(1, self.present[model]) for model in engine.models)
 
-    def _may_drop(self, model: str, need: _Need) -> bool:
-        if model == need.model:
-            return False
-        present = self.present[model]
-        if present > max(1, self._needed(model)):
-            return True
+    def _harm(self, model: str, replicas: int) -> float:
+        """Return the requests a second that come late or not at all with so many replicas."""
         demand = self._state.demand.get(model, Demand())
-        idle_s = self._state.now - demand.last_asked_at
-        if present > 1:
-            return need.absent and self._load(model) / (present - 1) < 2 * REPLICA_SHARE
-        if demand.waiting > 0:
-            return False
-        return idle_s > (KEEP_S if need.absent else RECENT_S)
+        rate = demand.tokens_per_ms * 1000.0 / TOKENS_PER_REQUEST
+        if replicas <= 0:
+            rate += demand.waiting
+        return rate * strain(self._load(model), replicas)
 
-    def _value(self, model: str) -> float:
-        """Return what dropping one replica costs, in loads that it makes likely."""
-        demand = self._state.demand.get(model, Demand())
+    def _loss(self, model: str) -> float:
+        """Return what dropping one replica costs, in requests a second."""
         present = self.present[model]
-        if present > max(1, self._needed(model)):
-            return 0.1 + self._load(model) / present
+        loss = self._harm(model, present - 1) - self._harm(model, present)
         if present > 1:
-            return NEEDED_VALUE + self._load(model)
+            return loss
+        demand = self._state.demand.get(model, Demand())
+        if not demand.ever_asked:
+            return (
+                loss
+                + UNASKED_PER_S
+                + NEWCOMER_PER_S * math.exp(-self._state.observed_s / NEWCOMER_S)
+            )
         age_s = max(0.0, self._state.now - demand.last_asked_at)
-        return 0.3 * math.exp(-age_s / 8.0) + self._load(model)
+        if age_s < KEEP_S:
+            return loss + KEEP_VALUE
+        still_asked = math.exp(-demand.usual_per_s * age_s)
+        return loss + SILENT_PER_S + demand.usual_per_s * still_asked
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -138,8 +138,9 @@
                 self.store_loads += 1
             self._ledgers[order.engine].calling = True
             load_s = 0.0
-            if not order.adapter and order.load:
-                load_s = state.facts[order.model].load_s[order.source]
+            arriving = order.model if order.load else order.makes_room_for
+            if not order.adapter and arriving is not None:
+                load_s = state.facts[arriving].load_s[order.source]
             start_coroutine(self._give(by_name[order.engine], order, token, load_s))
 
     def _describe(
@@ -165,6 +166,7 @@
         rates = [upstream.rate for upstream in ready]
         return FleetState(
             now=now,
+            observed_s=self.board.observed_s(now),
             engines=engines,
             facts=_read_facts(spec),
             demand={item: found for item, found in demand.items() if "/" not in item},
@@ -252,7 +254,7 @@
         reactor.callLater(REPEAT_S, self._publish, news)
 
     def _now(self) -> float:
-        return self._reactor.seconds()  # type: ignore[attr-defined,no-any-return]
+        return self._reactor.seconds()
 
 
 def _read_facts(spec: EngineSpec) -> dict[str, ModelFacts]:
--- a/src/cactusshunt/requests/caller_requests.py
+++ b/src/cactusshunt/requests/caller_requests.py
@@ -97,7 +97,7 @@
         if self.in_flight >= MOST_JOBS:
             self._refuse(connection, request_id, "too many requests at once", UNKNOWN_RETRY_S)
             return
-        now = self._reactor.seconds()  # type: ignore[attr-defined]
+        now = self._reactor.seconds()
         limit_ms = route.timeout_ms
         asked_ms = read_deadline_ms(request.headers)
         if asked_ms is not None:
--- a/src/cactusshunt/requests/final_answers.py
+++ b/src/cactusshunt/requests/final_answers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
-from cactusshunt.platform import headers as names
+if TYPE_CHECKING:
+    from cactusshunt.platform import headers as names
 
 
 class ErrorBody(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/cactusshunt/requests/job.py
+++ b/src/cactusshunt/requests/job.py
@@ -6,8 +6,6 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
-from cactusshunt.requests.answer_sink import AnswerSink
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -16,6 +14,7 @@
     from cactusshunt.platform.documents import Route
     from cactusshunt.platform.headers import Headers
     from cactusshunt.platform.model_headers import Generation
+    from cactusshunt.requests.answer_sink import AnswerSink
     from cactusshunt.requests.outcome import Outcome
 
 
@@ -40,6 +39,7 @@
     excluded: set[str] = field(default_factory=set)
     done: bool = False
     running: bool = False
+    first_data_at: float = 0.0
     on_timeout: Callable[[], None] | None = None
     retry_after_s: float = 0.3
 
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -130,6 +130,7 @@
         now = self._now()
         attempt = Attempt(tokens=picked.own_tokens, priority=job.route.priority, sent_at=now)
         job.sink.reset()
+        job.first_data_at = 0.0
         job.sink.on_first_data = lambda: self._note_first_token(job, picked, upstream, attempt)
         upstream.begin(attempt)
         if job.generation is not None:
@@ -227,6 +228,11 @@
             status=job.sink.status,
             expected_ms=int(picked.expected_ms),
             took_ms=int((now - sent_at) * 1000),
+            first_ms=int((job.first_data_at - sent_at) * 1000) if job.first_data_at else None,
+            pending=int(picked.work.pending_tokens) if picked.work else None,
+            own=int(picked.own_tokens),
+            rate=round(upstream.rate, 1),
+            priority=job.route.priority,
             waited_ms=int((sent_at - job.request.arrived_at) * 1000),
         )
 
@@ -252,6 +258,7 @@
         self, job: Job, picked: Picked, upstream: Upstream, attempt: Attempt
     ) -> None:
         upstream.note_first_token(attempt)
+        job.first_data_at = self._now()
         if job.generation is not None and picked.work is not None and job.sink.succeeded:
             took_ms = (self._now() - attempt.sent_at) * 1000.0
             upstream.rate = observe_rate(upstream.rate, picked.work, took_ms)
@@ -314,4 +321,4 @@
         return reactor.callLater(max(0.0, seconds), run)
 
     def _now(self) -> float:
-        return self._reactor.seconds()  # type: ignore[attr-defined,no-any-return]
+        return self._reactor.seconds()
--- a/src/cactusshunt/requests/upstream_picker.py
+++ b/src/cactusshunt/requests/upstream_picker.py
@@ -12,6 +12,7 @@
 
 from cactusshunt.requests.admission import Refusal
 from cactusshunt.requests.admission import judge_expected_wait
+from cactusshunt.requests.admission import judge_placement_wait
 from cactusshunt.requests.admission import placement_wait_s
 from cactusshunt.routing.choice import Candidate
 from cactusshunt.routing.choice import choose_engine
@@ -28,7 +29,7 @@
     from cactusshunt.requests.job import Job
     from cactusshunt.routing.directory import Directory
 
-CONNECTIONS_PART = 0.8  # of an upstream's limit that all VMs together may hold open
+WAIT_STEP_S = 0.1  # between two looks at what is expected, where no change wakes sooner
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -88,18 +89,31 @@
                 self._meter.end_wait((job.service, job.generation.model))
 
     async def _wait_for_engine(self, job: Job) -> Picked:
-        now = self._now()
-        wait_s = placement_wait_s(target_ms=job.route.target_latency_ms, left_ms=job.left_ms(now))
-        until = now + wait_s
+        """Wait while the item is on its way and comes in time."""
+        assert job.generation is not None
+        began = self._now()
+        until = began + placement_wait_s(
+            target_ms=job.route.target_latency_ms, left_ms=job.left_ms(began)
+        )
         while not job.done and not job.connection.gone:
-            left = until - self._now()
-            if left <= 0.0:
-                break
-            await self._next_change(left)
+            refusal = judge_placement_wait(
+                now=self._now(),
+                began=began,
+                until=until,
+                expected_at=self._expected_at(job),
+            )
+            if refusal is not None:
+                return Picked(refusal=refusal)
+            await self._next_change(WAIT_STEP_S)
             picked = self._pick_engine(job)
             if picked is not None:
                 return picked
-        return Picked(refusal=Refusal(reason="model is not placed", retry_after_s=0.5))
+        return Picked(refusal=Refusal(reason="nobody waits", retry_after_s=0.5))
+
+    def _expected_at(self, job: Job) -> float | None:
+        assert job.generation is not None
+        model_at = self._directory.expected_at(job.service, job.generation.model)
+        return model_at or self._directory.expected_at(job.service, job.item)
 
     def _next_change(self, seconds: float) -> Deferred[None]:
         changed: Deferred[None] = Deferred()
@@ -184,4 +198,4 @@
         )
 
     def _now(self) -> float:
-        return self._reactor.seconds()  # type: ignore[attr-defined,no-any-return]
+        return self._reactor.seconds()
--- a/src/cactusshunt/routing/directory.py
+++ b/src/cactusshunt/routing/directory.py
@@ -55,6 +55,15 @@
         standing = [found for found in ready if found.removed_at is None]
         return standing or ready
 
+    def expected_at(self, service: str, item: str) -> float | None:
+        """Return when an item is expected on some upstream, if one is under way."""
+        times = [
+            found.held.coming[item]
+            for found in self._upstreams.values()
+            if found.entry.service == service and item in found.held.coming
+        ]
+        return min(times, default=None)
+
     def take_item(self, item: StoredItem) -> None:
         """Take an upstream's entry, or its removal."""
         name = item.key.removeprefix(ENGINES_PREFIX)
