Keep what was never asked for at first, and a spare place on one engine in eight

Cause: rare requests dropped models that the platform had placed and that were about to be asked for.

--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -121,6 +121,7 @@
             hurry=self._hurry,
         )
         self._directory.on_change = self._picker.wake
+        self._directory.wake_later = lambda s: reactor.callLater(s, self._picker.wake)
         self._directory.on_gone = lambda upstream: self._pool.forget(upstream.address)
         relay = Relay(
             reactor=reactor,
--- a/src/cactusshunt/placement/engine_ledger.py
+++ b/src/cactusshunt/placement/engine_ledger.py
@@ -14,6 +14,8 @@
     from cactusshunt.platform.documents import EngineReport
 
 ENTRY_LAG_S = 3.0  # engines write to the store about every second, seen up to a second later
+REPORT_LAG_S = 0.11  # engines report their state as it was a tenth of a second ago
+REPORT_STEP_S = 0.06  # between two reports while an order is under way
 UNLOAD_S = 0.3  # usual time from the order to the answer that room was made
 LATE_S = 1.0  # by which a load may be late before it is no longer expected
 RESERVATION_S = 6.0  # an unload waits for the runs of its model, streams of seconds
@@ -78,7 +80,7 @@
     def take_report(self, report: EngineReport, now: float) -> None:
         """Take a report unless it is older than an accepted order."""
         if report.sequence < self.sequence:
-            self.report_due_at = now + 0.1
+            self.report_due_at = now + REPORT_STEP_S
             return
         self.sequence = report.sequence
         self.models = {model.name: set(model.adapters) for model in report.models}
@@ -92,7 +94,7 @@
         self.busy = report.busy
         self.changed = True
         if report.busy:
-            self.report_due_at = now + 0.08
+            self.report_due_at = now + REPORT_STEP_S
             return
         self.coming = {
             item: at
@@ -118,14 +120,14 @@
         if order.load:
             self.reserved_for = None
             self.coming[order.model] = now + load_s
-            self.report_due_at = now + load_s + 0.02
+            self.report_due_at = now + load_s + REPORT_LAG_S
         else:
             self.models.pop(order.model, None)
             self.reserved_for = order.makes_room_for
             if order.makes_room_for is not None:
                 self.coming[order.makes_room_for] = now + load_s + UNLOAD_S
             self.reserved_until = now + RESERVATION_S
-            self.report_due_at = now + 0.12
+            self.report_due_at = now + REPORT_LAG_S
 
     def list_models(self) -> dict[str, list[str]]:
         """Return the held items by model, those under way included."""
--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -23,13 +23,16 @@
 EASY_SHARE = 0.22  # of an engine's prefill time, up to which requests don't wait for each other
 FULL_SHARE = 0.75  # at which nearly every request comes late
 TOKENS_PER_REQUEST = 2_000  # a usual prompt, to turn tokens into requests
-UNASKED_PER_S = 0.3  # requests expected of a model that lies here and was not asked for yet
+UNASKED_PER_S = 0.6  # requests expected of a model that lies here and was not asked for yet
+UNASKED_S = 60.0  # time constant in which its place loses that worth
 NEWCOMER_PER_S = 1.0  # more of the same while demand has been watched for moments only
 NEWCOMER_S = 4.0
 SILENT_PER_S = 0.02  # requests expected of a model whose callers seem to be gone
 KEEP_S = 1.5  # a last replica asked for within this time is worth more than an idle one
 KEEP_VALUE = 0.6
 MOVE_PRICE = 0.2  # requests that a move must serve better to be worth its load
+SPARE_PART = 0.12  # of the engines that should have a place free for a model that comes up
+SPARE_LOSS_PER_S = 0.08  # requests that a spare place may cost
 STORE_PRICE = 0.6  # the same for a load from the weight store, if the model is held already
 UNLOAD_S = 0.3  # usual time from the order to the answer that room was made
 STORE_PENALTY_S = 1.0  # loads from the weight store are limited and serve all engines
@@ -57,6 +60,7 @@
     planner.fill_reserved()
     for need in planner.find_needs():
         planner.serve(need)
+    planner.keep_spare_places()
     return planner.orders
 
 
@@ -107,7 +111,7 @@
             fact = self._state.facts.get(model) if model is not None else None
             if model is None or fact is None or model in engine.models:
                 continue
-            if engine.capacity_mb - engine.used_mb(self._state.facts) < fact.size_mb:
+            if self._free_mb(engine) < fact.size_mb:
                 continue
             if engine.source_of(model) is WeightSource.STORE and self._loads_left <= 0:
                 del self._engines[engine.name]
@@ -115,6 +119,43 @@
             self.expected[model] -= 1
             self._order(engine, model, None, "room was made")
 
+    def keep_spare_places(self) -> None:
+        """Drop what is least likely to be asked for, so that a rare model finds room at once."""
+        if self._state.observed_s <= NEWCOMER_S:
+            return
+        size = max((fact.size_mb for fact in self._state.facts.values()), default=0.0)
+        free = [engine for engine in self._state.engines if self._free_mb(engine) >= size]
+        wanted = round(len(self._state.engines) * SPARE_PART)
+        if len(free) + len(self.orders) >= wanted:
+            return
+        options = []
+        for engine in self._engines.values():
+            if engine.reserved_for is None and engine not in free and engine.models:
+                victim = min(engine.models, key=self._loss)
+                options.append((self._loss(victim), engine.name, victim))
+        if options and min(options)[0] < SPARE_LOSS_PER_S:
+            _, name, victim = min(options)
+            self._drop(self._engines[name], victim, None, "spare place")
+
+    def _free_mb(self, engine: EngineState) -> float:
+        return engine.capacity_mb - engine.used_mb(self._state.facts)
+
+    def _drop(self, engine: EngineState, victim: str, follower: str | None, reason: str) -> None:
+        del self._engines[engine.name]
+        self.expected[victim] -= 1
+        self.present[victim] -= 1
+        self.orders.append(
+            PlannedOrder(
+                engine=engine.name,
+                load=False,
+                model=victim,
+                expected=engine.sequence,
+                makes_room_for=follower,
+                source=engine.source_of(follower) if follower else WeightSource.MEMORY,
+                reason=reason,
+            )
+        )
+
     def _count_promise(self, engine: EngineState) -> None:
         """Set a load from the weight store aside for room that is being made."""
         model = str(engine.reserved_for)
@@ -146,7 +187,7 @@
             if self._loads_left <= 0 or (not need.absent and need.gain < STORE_PRICE):
                 return None
             price += STORE_PENALTY_S
-        if engine.capacity_mb - engine.used_mb(self._state.facts) >= fact.size_mb:
+        if self._free_mb(engine) >= fact.size_mb:
             return price, None
         losses = {model: self._loss(model) for model in engine.models if model != need.model}
         if not losses:
@@ -157,24 +198,13 @@
         return price + UNLOAD_S + VICTIM_S * losses[victim], victim
 
     def _order(self, engine: EngineState, model: str, victim: str | None, reason: str) -> None:
-        del self._engines[engine.name]
         self.expected[model] += 1
         if victim is not None:
             if engine.source_of(model) is WeightSource.STORE:
                 self._loads_left -= 1
-            self.expected[victim] -= 1
-            self.present[victim] -= 1
-            self.orders.append(
-                PlannedOrder(
-                    engine=engine.name,
-                    load=False,
-                    model=victim,
-                    expected=engine.sequence,
-                    makes_room_for=model,
-                    reason=f"{reason}: {model}",
-                )
-            )
+            self._drop(engine, victim, model, f"{reason}: {model}")
             return
+        del self._engines[engine.name]
         source = engine.source_of(model)
         if source is WeightSource.STORE:
             self._loads_left -= 1
@@ -212,17 +242,19 @@
         """Return what dropping one replica costs, in requests a second."""
         present = self.present[model]
         loss = self._harm(model, present - 1) - self._harm(model, present)
-        if present > 1:
-            return loss
         demand = self._state.demand.get(model, Demand())
         if not demand.ever_asked:
-            return (
-                loss
-                + UNASKED_PER_S
-                + NEWCOMER_PER_S * math.exp(-self._state.observed_s / NEWCOMER_S)
-            )
+            return loss + self._unasked_value()
+        if present > 1:
+            return loss
         age_s = max(0.0, self._state.now - demand.last_asked_at)
         if age_s < KEEP_S:
             return loss + KEEP_VALUE
         still_asked = math.exp(-demand.usual_per_s * age_s)
         return loss + SILENT_PER_S + demand.usual_per_s * still_asked
+
+    def _unasked_value(self) -> float:
+        """Return what a replica that was placed before any demand was seen is worth."""
+        seen_s = self._state.observed_s
+        newcomer = NEWCOMER_PER_S * math.exp(-seen_s / NEWCOMER_S)
+        return UNASKED_PER_S * math.exp(-seen_s / UNASKED_S) + newcomer
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -116,6 +116,8 @@
             ledger.report_due_at = now + REST_S
             return
         ledger.take_report(report, now)
+        if ledger.can_take_order(now):
+            self.tick()
 
     def _plan(
         self,
--- a/src/cactusshunt/routing/directory.py
+++ b/src/cactusshunt/routing/directory.py
@@ -33,6 +33,7 @@
         self._upstreams: dict[str, Upstream] = {}
         self._sent: dict[str, int] = {}
         self.on_change: Callable[[], None] = lambda: None
+        self.wake_later: Callable[[float], None] = lambda seconds: None
         self.on_gone: Callable[[Upstream], None] = lambda upstream: None
 
     def all(self) -> list[Upstream]:
@@ -146,6 +147,14 @@
         found.held = replace(held, version=version)
         found.missing = {}
         self.on_change()
+        self._announce_coming(held)
+
+    def _announce_coming(self, held: HeldItems) -> None:
+        """Wake those who wait when adapters that are under way should be there."""
+        now = self._clock()
+        for item, at in held.coming.items():
+            if "/" in item and at > now:
+                self.wake_later(at - now + 0.001)
 
     def _remove(self, name: str) -> None:
         found = self._upstreams.get(name)
