--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -37,6 +37,8 @@
 from cactusshunt.requests.caller_requests import CallerRequests
 from cactusshunt.requests.relay import Relay
 from cactusshunt.requests.retry_allowance import RetryAllowance
+from cactusshunt.requests.stopping import TAKE_S
+from cactusshunt.requests.stopping import end_of_serving
 from cactusshunt.requests.upstream_picker import UpstreamPicker
 from cactusshunt.routing.directory import Directory
 from cactusshunt.tasks.periodic import start_coroutine
@@ -58,8 +60,6 @@
 HURRY_S = 0.01  # requests that begin to wait together are told in one datagram
 HOUSEKEEPING_S = 1.0
 LOG_FLUSH_S = 0.1
-STOP_SERVE_S = 2.6  # the balancer takes a VM out after two questions, one a second
-STOP_RESERVE_S = 0.4
 LISTEN_BACKLOG = 512
 
 
@@ -130,7 +130,9 @@
             picker=self._picker,
             allowance=self._allowance,
         )
-        self._callers = CallerRequests(reactor=reactor, relay=relay, meter=self._meter)
+        self._callers = CallerRequests(
+            reactor=reactor, relay=relay, meter=self._meter, grace_s=bounds.grace_s
+        )
         self._view = PlatformView(
             reactor=reactor,
             store=self._store,
@@ -163,7 +165,7 @@
         if self._stopping_since is not None:
             return
         self._stopping_since = self._now()
-        self._callers.stop_requested = True
+        self._callers.begin_stop(self._stopping_since)
         log_event("stop", in_flight=self._callers.in_flight)
         start_coroutine(self._membership.leave())
         self._repeat(0.05, self._try_to_end)
@@ -333,11 +335,11 @@
 
     def _try_to_end(self) -> None:
         assert self._stopping_since is not None
-        since = self._now() - self._stopping_since
-        if since < STOP_SERVE_S:
+        now = self._now()
+        if now < self._stopping_since + TAKE_S:
             return
         self._callers.close_idle()
-        over = since >= self._settings.bounds.grace_s - STOP_RESERVE_S
+        over = now >= end_of_serving(self._stopping_since, self._settings.bounds.grace_s)
         if over or (not self._callers.in_flight and not self._callers.connections):
             log_event("end", in_flight=self._callers.in_flight)
             flush_log()
--- a/src/cactusshunt/requests/caller_requests.py
+++ b/src/cactusshunt/requests/caller_requests.py
@@ -16,6 +16,7 @@
 from cactusshunt.requests import final_answers
 from cactusshunt.requests.answer_sink import AnswerSink
 from cactusshunt.requests.job import Job
+from cactusshunt.requests.stopping import judge_while_stopping
 from cactusshunt.tasks.periodic import start_coroutine
 
 if TYPE_CHECKING:
@@ -25,6 +26,7 @@
     from cactusshunt.http1.caller_connection import ReceivedRequest
     from cactusshunt.placement.demand_meter import DemandMeter
     from cactusshunt.platform.documents import Configuration
+    from cactusshunt.requests.admission import Refusal
     from cactusshunt.requests.relay import Relay
 
 UNKNOWN_LIMITS = ReadingLimits(
@@ -39,7 +41,9 @@
 class CallerRequests:
     """Handler of the callers' side: limits, routes, and the requests in flight."""
 
-    def __init__(self, *, reactor: ReactorBase, relay: Relay, meter: DemandMeter) -> None:
+    def __init__(
+        self, *, reactor: ReactorBase, relay: Relay, meter: DemandMeter, grace_s: float
+    ) -> None:
         self._reactor = reactor
         self._relay = relay
         self._meter = meter
@@ -48,7 +52,8 @@
         self._random = random.Random()
         self.connections: set[CallerConnection] = set()
         self.in_flight = 0
-        self.stop_requested = False
+        self._grace_s = grace_s
+        self._stopping_since: float | None = None
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force for all requests from now on."""
@@ -67,7 +72,11 @@
 
     def stopping(self) -> bool:
         """Tell whether callers should open new connections elsewhere."""
-        return self.stop_requested
+        return self._stopping_since is not None
+
+    def begin_stop(self, now: float) -> None:
+        """Note that the process was told to stop."""
+        self._stopping_since = now
 
     def opened(self, connection: CallerConnection) -> None:
         """Note a new connection."""
@@ -113,9 +122,24 @@
             deadline=request.arrived_at + limit_ms / 1000.0,
             sink=AnswerSink(connection=connection, request_id=request_id, streams=route.streams),
         )
+        refusal = self._judge_stop(job, now)
+        if refusal is not None:
+            self._refuse(connection, request_id, refusal.reason, refusal.retry_after_s)
+            return
         self._count(job, now)
         start_coroutine(self._run(job))
 
+    def _judge_stop(self, job: Job, now: float) -> Refusal | None:
+        if self._stopping_since is None:
+            return None
+        return judge_while_stopping(
+            now=now,
+            stopping_since=self._stopping_since,
+            grace_s=self._grace_s,
+            deadline=job.deadline,
+            streams=job.route.streams,
+        )
+
     async def _run(self, job: Job) -> None:
         self.in_flight += 1
         try:
