Settle lost orders at once; keep fresh and queued replicas

Cause: an order without an answer stopped its engine for 0.9 s; models that had just been loaded were dropped for others; absent models that only refused callers asked for counted for little.

--- a/src/cactusshunt/placement/engine_ledger.py
+++ b/src/cactusshunt/placement/engine_ledger.py
@@ -42,6 +42,7 @@
     report_due_at: float | None = 0.0
     rests_until: float = 0.0
     coming: dict[str, float] = field(default_factory=dict)
+    loaded_at: dict[str, float] = field(default_factory=dict)
     reserved_for: str | None = None
     reserved_until: float = 0.0
     changed: bool = True
@@ -120,6 +121,7 @@
         if order.load:
             self.reserved_for = None
             self.coming[order.model] = now + load_s
+            self.loaded_at[order.model] = now + load_s
             self.report_due_at = now + load_s + REPORT_LAG_S
         else:
             self.models.pop(order.model, None)
@@ -152,4 +154,5 @@
             in_memory=self.in_memory,
             on_disk=self.on_disk,
             running=running,
+            loaded_at=self.loaded_at,
         )
--- a/src/cactusshunt/placement/fleet_state.py
+++ b/src/cactusshunt/placement/fleet_state.py
@@ -31,7 +31,8 @@
     """An engine at one ``sequence`` of accepted orders.
 
     ``models`` maps held models to their adapters; ``coming`` are models under way;
-    ``reserved_for`` names the model for which another one was dropped.
+    ``reserved_for`` names the model for which another one was dropped; ``loaded_at`` gives the
+    steady-clock time of loads that this VM ordered.
     """
 
     name: str
@@ -46,6 +47,7 @@
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     running: float = 0.0
+    loaded_at: dict[str, float] = field(default_factory=dict)
 
     def source_of(self, model: str) -> WeightSource:
         """Return where the weights would come from."""
--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -33,6 +33,10 @@
 MOVE_PRICE = 0.2  # requests that a move must serve better to be worth its load
 SPARE_PART = 0.12  # of the engines that should have a place free for a model that comes up
 SPARE_LOSS_PER_S = 0.08  # requests that a spare place may cost
+GROW_PRICE = 0.6  # the same for a further replica
+QUEUED_S = 0.3  # usual time of a request in an engine's queue
+FRESH_S = 3.0  # after a load, in which its model is not dropped lightly
+FRESH_VALUE = 0.6
 STORE_PRICE = 0.6  # the same for a load from the weight store, if the model is held already
 UNLOAD_S = 0.3  # usual time from the order to the answer that room was made
 STORE_PENALTY_S = 1.0  # loads from the weight store are limited and serve all engines
@@ -189,11 +193,15 @@
             price += STORE_PENALTY_S
         if self._free_mb(engine) >= fact.size_mb:
             return price, None
-        losses = {model: self._loss(model) for model in engine.models if model != need.model}
+        losses = {
+            model: self._loss(model) + self._disturbance(engine, model)
+            for model in engine.models
+            if model != need.model
+        }
         if not losses:
             return None
         victim = min(losses, key=lambda model: losses[model])
-        if need.gain < losses[victim] + MOVE_PRICE:
+        if need.gain < losses[victim] + (MOVE_PRICE if need.absent else GROW_PRICE):
             return None
         return price + UNLOAD_S + VICTIM_S * losses[victim], victim
 
@@ -234,8 +242,8 @@
         """Return the requests a second that come late or not at all with so many replicas."""
         demand = self._state.demand.get(model, Demand())
         rate = demand.tokens_per_ms * 1000.0 / TOKENS_PER_REQUEST
-        if replicas <= 0:
-            rate += demand.waiting
+        if replicas <= 0 and self._is_asked(demand):
+            rate += max(1, demand.waiting)
         return rate * strain(self._load(model), replicas)
 
     def _loss(self, model: str) -> float:
@@ -253,6 +261,17 @@
         still_asked = math.exp(-demand.usual_per_s * age_s)
         return loss + SILENT_PER_S + demand.usual_per_s * still_asked
 
+    def _disturbance(self, engine: EngineState, model: str) -> float:
+        """Return what dropping a replica costs besides its place.
+
+        Requests in its queue are turned away, and one that was loaded a moment ago was needed.
+        """
+        demand = self._state.demand.get(model, Demand())
+        rate = demand.tokens_per_ms * 1000.0 / TOKENS_PER_REQUEST
+        queued = QUEUED_S * rate / max(1, self.present[model])
+        fresh = self._state.now - engine.loaded_at.get(model, -1e9) < FRESH_S
+        return queued + (FRESH_VALUE if fresh else 0.0)
+
     def _unasked_value(self) -> float:
         """Return what a replica that was placed before any demand was seen is worth."""
         seen_s = self._state.observed_s
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -35,7 +35,7 @@
     from cactusshunt.routing.directory import Directory
     from cactusshunt.routing.upstream import Upstream
 
-CALL_TIMEOUT_S = 0.4
+CALL_TIMEOUT_S = 0.22  # engines answer within milliseconds, and later than their reports lag
 REST_S = 0.4  # after an engine did not answer or refused an order
 REPEAT_S = 0.15  # news is sent twice, since datagrams may be lost
 
@@ -224,8 +224,8 @@
             ledger.take_accepted(order, now, load_s)
             self.tick()
             return
-        ledger.report_due_at = now + 0.12
-        if answer is not OrderAnswer.CONFLICT:
+        ledger.report_due_at = now
+        if answer not in (OrderAnswer.CONFLICT, OrderAnswer.DONE) and outcome != "UNKNOWN":
             ledger.rests_until = now + REST_S
 
     def _announce(self, now: float) -> None:
--- a/src/cactusshunt/requests/admission.py
+++ b/src/cactusshunt/requests/admission.py
@@ -14,7 +14,7 @@
 LONGEST_RETRY_S = 2.0
 WAIT_PART = 2.0  # of the latency objective that a request may wait for its model
 WAIT_LEFT_PART = 0.6  # of the time left that it may wait at most
-UNORDERED_WAIT_S = 0.25  # for the order holder to hear of a request and to order what it needs
+UNORDERED_WAIT_S = 0.35  # for the order holder to hear of a request and to order what it needs
 UNORDERED_RETRY_S = 1.0  # about the time of one load
 LATE_LOAD_S = 0.3  # by which loads come later than expected, where several run
 
