Go on ordering in an outage of the store that most VMs confirm

The holder goes on while a majority of the VMs, heard within half a second, say that the store is silent and none says the contrary: then nobody else can be elected. Ruled out: longer leases (they would also keep a holder that alone is cut off).

--- a/src/cactusshunt/membership/membership_task.py
+++ b/src/cactusshunt/membership/membership_task.py
@@ -19,8 +19,10 @@
 from cactusshunt.exceptions import StoreError
 from cactusshunt.membership.peer_link import PeerRecord
 from cactusshunt.membership.tenure import RENEWAL_PART
+from cactusshunt.membership.tenure import StoreWord
 from cactusshunt.membership.tenure import Tenure
 from cactusshunt.membership.tenure import begin_tenure
+from cactusshunt.membership.tenure import confirm_outage
 from cactusshunt.membership.tenure import election_delay_s
 from cactusshunt.membership.tenure import extend_tenure
 from cactusshunt.node_log import log_event
@@ -78,6 +80,9 @@
         self._synced = False
         self._tenure = Tenure()
         self._slept = _slept_s()
+        self._store_heard_at = reactor.seconds()
+        self._store_words: dict[str, StoreWord] = {}
+        self._in_outage = False
         self._random = random.Random(vm)
         self.stopping = False
 
@@ -91,6 +96,36 @@
             self._tenure = Tenure()
         return self._tenure
 
+    def may_order(self, now: float) -> bool:
+        """Tell whether orders may be given now, over a live lease or in an outage for all."""
+        tenure = self.tenure
+        if tenure.holds(now):
+            return True
+        if not tenure.elected or now < tenure.begins_at:
+            return False
+        outage = confirm_outage(
+            now=now,
+            own_silent_s=self.store_silent_s(now),
+            words=list(self._store_words.values()),
+            peers=len(self._link.peers),
+        )
+        if outage != self._in_outage:
+            self._in_outage = outage
+            log_event("right_kept_in_outage" if outage else "right_rests", token=tenure.token)
+        return outage
+
+    def store_silent_s(self, now: float) -> float:
+        """Return the time since the store last answered this VM."""
+        return now - self._store_heard_at
+
+    def note_store_answer(self) -> None:
+        """Note that the store answered a call."""
+        self._store_heard_at = self._now()
+
+    def take_store_word(self, vm: str, silent_s: float) -> None:
+        """Take a peer's word about the store."""
+        self._store_words[vm] = StoreWord(heard_at=self._now(), silent_s=silent_s)
+
     @property
     def holder(self) -> str | None:
         """Return the VM that may give orders, as far as the store's view tells."""
@@ -98,6 +133,7 @@
 
     def note_synced(self) -> None:
         """Note that the view is complete, so that a missing holder means a vacancy."""
+        self.note_store_answer()
         if not self._synced:
             self._synced = True
             if self._holder is None:
@@ -146,6 +182,7 @@
             self._registered = False
         else:
             await self._store.renew_lease(self._lease, deadline=deadline)
+            self.note_store_answer()
             self._renewed_at = sent
             if self.tenure.elected:
                 self._tenure = extend_tenure(self._tenure, renewed_at=sent, lease_s=self._lease_s)
@@ -163,15 +200,17 @@
         if not self._synced or self._holder is not None or self._vacant_since is None:
             return
         names = rank_nodes([self._vm, *self._link.peers], "holder")
-        delay = election_delay_s(names.index(self._vm), self._lease_s)
+        former = self._former_before(None)
+        rank = 0 if former and former[-1] == self._vm else 1 + names.index(self._vm)
+        delay = election_delay_s(rank, self._lease_s)
         if self._now() < self._vacant_since + delay:
             return
         value = f"{self._vm}/{self._incarnation}".encode()
-        former = [*self._former_before(None)[-FORMER_HOLDERS:], self._vm]
+        holders = [*former[-FORMER_HOLDERS:], self._vm]
         await self._store.commit(
             expected={HOLDER_KEY: ABSENT},
             puts={HOLDER_KEY: value},
-            unleased={LAST_HOLDER_KEY: ",".join(former).encode()},
+            unleased={LAST_HOLDER_KEY: ",".join(holders).encode()},
             lease=self._lease,
             deadline=self._now() + CALL_TIMEOUT_S,
         )
--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -32,10 +32,14 @@
 
 
 class Status(msgspec.Struct, frozen=True, kw_only=True, tag="s", array_like=True):
-    """What one VM tells the others of its work several times a second."""
+    """What one VM tells the others of its work several times a second.
+
+    ``store_silent_ms`` is the time since the platform's store last answered it.
+    """
 
     vm: str
     sent: int
+    store_silent_ms: int
     work: list[EngineWork]
 
 
--- a/src/cactusshunt/membership/tenure.py
+++ b/src/cactusshunt/membership/tenure.py
@@ -15,6 +15,9 @@
 VALIDITY_PART = 0.55  # of a lease: after it the holder stops, long before the lease can lapse
 RENEWAL_PART = 0.25  # of a lease between two renewals
 NO_TOKEN = 0
+SILENCE_S = 0.7  # without an answer of the store, after which it counts as out of reach
+PEER_WORD_S = 0.5  # for which a peer's word about the store counts
+CONTRADICTION_S = 1.0  # for which a peer's word that it reaches the store counts
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -71,3 +74,30 @@
 def election_delay_s(rank: int, lease_s: float) -> float:
     """Return how long a VM of a rank waits before it runs for the right."""
     return 0.02 + rank * 0.2 * lease_s
+
+
+@dataclass(frozen=True, kw_only=True)
+class StoreWord:
+    """What a VM said of the store: when it was heard, and how long the store has been silent."""
+
+    heard_at: float
+    silent_s: float
+
+
+def confirm_outage(
+    *, now: float, own_silent_s: float, words: Sequence[StoreWord], peers: int
+) -> bool:
+    """Tell whether the store is out of reach for all, so that no other holder can be elected.
+
+    A majority of the VMs, this one included, must say so just now, and nobody the contrary.
+    ``peers`` counts the other VMs that were registered when the store was last heard.
+    """
+    if own_silent_s < SILENCE_S:
+        return False
+    for word in words:
+        if word.silent_s < SILENCE_S and now - word.heard_at < CONTRADICTION_S:
+            return False
+    agreeing = sum(
+        1 for word in words if word.silent_s >= SILENCE_S and now - word.heard_at < PEER_WORD_S
+    )
+    return 2 * (agreeing + 1) > peers + 1
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -23,6 +23,7 @@
 from cactusshunt.membership.messages import Status
 from cactusshunt.membership.peer_link import PeerLink
 from cactusshunt.membership.peer_link import PeerRecord
+from cactusshunt.membership.tenure import SILENCE_S
 from cactusshunt.node_log import flush_log
 from cactusshunt.node_log import log_event
 from cactusshunt.node_log import set_log_vm
@@ -104,6 +105,7 @@
             directory=self._directory,
             calls=EngineCalls(reactor=reactor, pool=self._order_pool),
             tenure=lambda: self._membership.tenure,
+            may_order=self._membership.may_order,
             publish=self._publish,
         )
         self._meter = DemandMeter()
@@ -255,6 +257,7 @@
         now = self._now()
         if isinstance(message, Status):
             self._directory.take_status(message)
+            self._membership.take_store_word(message.vm, message.store_silent_ms / 1000.0)
             return
         if isinstance(message, DemandWord):
             self._orders.board.take(message.vm, message.items, now)
@@ -279,10 +282,18 @@
             for found in self._directory.all()
             if found.running
         ]
-        if not work and not self._told_work:
+        silent_s = self._membership.store_silent_s(self._now())
+        lonely = silent_s >= SILENCE_S
+        if not work and not self._told_work and not lonely:
             return
         self._told_work = bool(work)
-        self._link.send(Status(vm=self._settings.node, sent=self._sent, work=work), self._near())
+        status = Status(
+            vm=self._settings.node,
+            sent=self._sent,
+            store_silent_ms=int(silent_s * 1000),
+            work=work,
+        )
+        self._link.send(status, list(self._link.peers) if lonely else self._near())
 
     def _send_demand(self) -> None:
         """Tell the order holder what callers ask for."""
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -51,6 +51,7 @@
         directory: Directory,
         calls: EngineCalls,
         tenure: Callable[[], Tenure],
+        may_order: Callable[[float], bool],
         publish: Callable[[PlacementNews], None],
     ) -> None:
         self._reactor = reactor
@@ -58,6 +59,7 @@
         self._directory = directory
         self._calls = calls
         self._tenure = tenure
+        self._may_order = may_order
         self._publish = publish
         self._services: list[Service] = []
         self._ledgers: dict[str, EngineLedger] = {}
@@ -84,7 +86,7 @@
         for service in self._services:
             upstreams = [u for u in self._directory.all() if u.entry.service == service.name]
             self._follow(upstreams, now)
-            if tenure.holds(now) and service.engine is not None:
+            if self._may_order(now) and service.engine is not None:
                 self._plan(service, service.engine, upstreams, tenure.token, now)
         self._announce(now)
 
