--- a/src/cactusshunt/membership/membership_task.py
+++ b/src/cactusshunt/membership/membership_task.py
@@ -79,6 +79,7 @@
         self._vacant_since: float | None = None
         self._synced = False
         self._tenure = Tenure()
+        self._last_tenure = Tenure()
         self._slept = _slept_s()
         self._store_heard_at = reactor.seconds()
         self._store_words: dict[str, StoreWord] = {}
@@ -241,7 +242,9 @@
             turn_s=self._turn_s,
             vm=self._vm,
             former=former,
+            previous=self._last_tenure,
         )
+        self._last_tenure = self._tenure
         waits_s = round(self._tenure.begins_at - now, 3)
         log_event("right_won", token=item.revision, former=former, waits_s=waits_s)
         self._on_elected()
--- a/src/cactusshunt/membership/tenure.py
+++ b/src/cactusshunt/membership/tenure.py
@@ -47,17 +47,21 @@
     turn_s: float,
     vm: str,
     former: Sequence[str],
+    previous: Tenure,
 ) -> Tenure:
     """Return the right of a new holder.
 
-    ``former`` names earlier holders, the last one last. A holder's last possible order comes
-    ``VALIDITY_PART`` of a lease after its right was taken away; a VM that ordered before another
-    one did waits ``turn_s`` more, so that two VMs don't alternate.
+    ``former`` names earlier holders, the last one last; ``previous`` is this process's last right.
+    A holder's last possible order comes ``VALIDITY_PART`` of a lease after its right was taken
+    away. A VM that may have ordered before another one did waits ``turn_s`` more, so that two VMs
+    don't alternate.
     """
     wait = 0.0
-    if former and former[-1] != vm:
+    if any(name != vm for name in former):
         wait = VALIDITY_PART * lease_s
-        if vm in former:
+        if former[-1] == vm and previous.elected:
+            wait = max(0.0, previous.begins_at - now)
+        elif vm in former:
             wait += turn_s
     return Tenure(token=token, begins_at=now + wait, ends_at=renewed_at + VALIDITY_PART * lease_s)
 
--- /dev/null
+++ b/tests/steps/model_plan_steps.py
@@ -0,0 +1,345 @@
+"""Steps on placement, on the pure planner and its ledgers."""
+
+from __future__ import annotations
+
+import random
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from hypothesis import given as given_any
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from cactusshunt.placement.adapter_plan import plan_adapters
+from cactusshunt.placement.engine_ledger import EngineLedger
+from cactusshunt.placement.fleet_state import Demand
+from cactusshunt.placement.fleet_state import EngineState
+from cactusshunt.placement.fleet_state import FleetState
+from cactusshunt.placement.fleet_state import ModelFacts
+from cactusshunt.placement.fleet_state import PlannedOrder
+from cactusshunt.placement.fleet_state import WeightSource
+from cactusshunt.placement.load_rate import LoadRate
+from cactusshunt.placement.model_plan import plan_models
+from cactusshunt.platform.documents import EngineReport
+from cactusshunt.platform.documents import HeldModel
+
+MODELS = [f"m{number}" for number in range(12)]
+SIZES = {model: 30.0 + 5.0 * (number % 4) for number, model in enumerate(MODELS)}
+FACTS = {
+    model: ModelFacts(
+        name=model,
+        size_mb=size,
+        adapter_mb=1.0,
+        load_s={WeightSource.MEMORY: 0.6, WeightSource.DISK: 0.8, WeightSource.STORE: 1.2},
+    )
+    for model, size in SIZES.items()
+}
+CAPACITY = 110.0
+NOW = 1_000.0
+
+
+def used(models: dict[str, Any]) -> float:
+    return sum(SIZES[model] + len(adapters) for model, adapters in models.items())
+
+
+@st.composite
+def fleets(draw: Any) -> FleetState:
+    engines = []
+    for number in range(draw(st.integers(1, 6))):
+        held: dict[str, frozenset[str]] = {}
+        for model in draw(st.lists(st.sampled_from(MODELS), unique=True, max_size=3)):
+            if used(held) + SIZES[model] <= CAPACITY:
+                held[model] = frozenset()
+        reserved = draw(st.one_of(st.none(), st.sampled_from(MODELS)))
+        engines.append(
+            EngineState(
+                name=f"e{number}",
+                availability_zone=draw(st.sampled_from(("x", "y"))),
+                capacity_mb=CAPACITY,
+                adapter_places=8,
+                sequence=number,
+                busy=draw(st.booleans()),
+                models=held,
+                reserved_for=reserved,
+                on_disk=frozenset(draw(st.lists(st.sampled_from(MODELS), max_size=4))),
+            )
+        )
+    demand = {}
+    for model in draw(st.lists(st.sampled_from(MODELS), unique=True)):
+        demand[model] = Demand(
+            tokens_per_ms=draw(st.floats(0.0, 60.0)),
+            waiting=draw(st.integers(0, 3)),
+            last_asked_at=NOW - draw(st.floats(0.0, 30.0)),
+            usual_per_s=draw(st.floats(0.0, 5.0)),
+        )
+    return FleetState(
+        now=NOW,
+        observed_s=draw(st.floats(0.0, 100.0)),
+        engines=tuple(engines),
+        facts=FACTS,
+        demand=demand,
+        store_loads_allowed=draw(st.integers(0, 3)),
+    )
+
+
+def check_any_plan(check: Any) -> None:
+    @given_any(fleets())
+    @settings(max_examples=400)
+    def run(state: FleetState) -> None:
+        check(state, plan_models(state))
+
+    run()
+
+
+@given("fleets, demands and states of any kind")
+def make_fleets(context: Any) -> None:
+    context.check = check_any_plan
+
+
+@then("every planned load fits the engine that it is given to")
+def check_fit(context: Any) -> None:
+    def check(state: FleetState, orders: list[PlannedOrder]) -> None:
+        by_name = {engine.name: engine for engine in state.engines}
+        for order in orders:
+            engine = by_name[order.engine]
+            assert not engine.busy
+            assert order.expected == engine.sequence
+            if order.load:
+                assert order.model not in engine.models
+                assert used(dict(engine.models)) + SIZES[order.model] <= CAPACITY
+            else:
+                assert order.model in engine.models
+
+    context.check(check)
+
+
+@then("no last replica that requests wait for is dropped")
+def check_waited(context: Any) -> None:
+    def check(state: FleetState, orders: list[PlannedOrder]) -> None:
+        for model, demand in state.demand.items():
+            dropped = sum(not order.load and order.model == model for order in orders)
+            held = sum(model in engine.models for engine in state.engines)
+            if demand.waiting and dropped and state.now - demand.last_asked_at < 1.0:
+                assert held > dropped, (model, held, dropped)
+
+    context.check(check)
+
+
+@then("no engine gets two orders at once")
+def check_single(context: Any) -> None:
+    def check(state: FleetState, orders: list[PlannedOrder]) -> None:
+        names = [order.engine for order in orders]
+        assert len(names) == len(set(names))
+
+    context.check(check)
+
+
+class FakeEngine:
+    """An engine that carries out orders at once, now or when a late one arrives."""
+
+    def __init__(self) -> None:
+        self.sequence = 0
+        self.born = 1
+        self.models: dict[str, list[str]] = {}
+        self.late: list[PlannedOrder] = []
+
+    def take(self, order: PlannedOrder) -> bool:
+        if order.expected != self.sequence:
+            return False
+        self.sequence += 1
+        if order.load:
+            self.models[order.model] = []
+        else:
+            self.models.pop(order.model, None)
+        assert used(self.models) <= CAPACITY
+        return True
+
+    def report(self) -> EngineReport:
+        held = [HeldModel(name=name) for name in self.models]
+        return EngineReport(models=held, sequence=self.sequence, born=self.born)
+
+
+@given("engines that lose, delay and double orders and restart at any moment")
+def make_faulty_engines(context: Any) -> None:
+    context.seeds = range(150)
+
+
+@then("in every history no engine holds more than fits")
+def check_histories(context: Any) -> None:
+    for seed in context.seeds:
+        play_history(random.Random(seed))
+
+
+def play_history(draw: random.Random) -> None:
+    engine = FakeEngine()
+    ledger = EngineLedger(name="e0", born=1)
+    now = NOW
+    for _ in range(80):
+        now += draw.uniform(0.05, 1.0)
+        if engine.late and draw.random() < 0.3:
+            engine.take(engine.late.pop(draw.randrange(len(engine.late))))
+        if draw.random() < 0.5:
+            ledger.take_report(engine.report(), now)
+        if not ledger.can_take_order(now):
+            continue
+        orders = plan_models(describe_one(ledger, draw, now))
+        for order in orders:
+            give_one(engine, ledger, order, draw, now)
+
+
+def describe_one(ledger: EngineLedger, draw: random.Random, now: float) -> FleetState:
+    state = ledger.describe(
+        availability_zone="x", capacity_mb=CAPACITY, places=8, running=0.0, now=now
+    )
+    demand = {
+        model: Demand(tokens_per_ms=draw.uniform(0, 30), waiting=1, last_asked_at=now)
+        for model in draw.sample(MODELS, 3)
+    }
+    return FleetState(now=now, engines=(state,), facts=FACTS, demand=demand, store_loads_allowed=3)
+
+
+def give_one(
+    engine: FakeEngine,
+    ledger: EngineLedger,
+    order: PlannedOrder,
+    draw: random.Random,
+    now: float,
+) -> None:
+    fate = draw.random()
+    if fate < 0.2:
+        engine.late.append(order)
+        ledger.report_due_at = now
+    elif fate < 0.35:
+        engine.take(order)
+        ledger.report_due_at = now
+    elif engine.take(order):
+        ledger.take_accepted(order, now, 0.0)
+        if draw.random() < 0.2:
+            engine.late.append(order)
+    else:
+        ledger.report_due_at = now
+
+
+@given("{engines:d} engines of 3 places, {busy:d} busy models and {rare:d} rare ones")
+def make_busy_fleet(context: Any, engines: int, busy: int, rare: int) -> None:
+    names = [f"b{n}" for n in range(busy)] + [f"r{n}" for n in range(rare)]
+    context.facts = {
+        name: ModelFacts(name=name, size_mb=70.0, adapter_mb=1.0, load_s=FACTS["m0"].load_s)
+        for name in names
+    }
+    places = names[: engines * 3]
+    context.busy = names[:busy]
+    context.rare = names[busy:]
+    context.held = {f"e{n}": set(places[n::engines]) for n in range(engines)}
+    context.draw = random.Random(3)
+
+
+@when("rare models are asked for one after the other for {seconds:d} seconds")
+def ask_rare(context: Any, seconds: int) -> None:
+    asked = dict.fromkeys(context.rare[:8], (NOW - 1.0, 0.18))
+    context.lost = []
+    for tick in range(seconds * 4):
+        now = NOW + tick * 0.25
+        wanted = context.draw.choice(context.rare)
+        asked[wanted] = (now, 0.18)
+        demand = {
+            name: Demand(tokens_per_ms=8.0, last_asked_at=now, usual_per_s=4.0)
+            for name in context.busy
+        }
+        for name, (at, usual) in asked.items():
+            waiting = int(name == wanted and not any(name in m for m in context.held.values()))
+            demand[name] = Demand(
+                tokens_per_ms=0.3, waiting=waiting, last_asked_at=at, usual_per_s=usual
+            )
+        state = FleetState(
+            now=now,
+            engines=tuple(
+                EngineState(
+                    name=name,
+                    availability_zone="x",
+                    capacity_mb=230.0,
+                    adapter_places=8,
+                    sequence=0,
+                    busy=False,
+                    models=dict.fromkeys(held, frozenset()),
+                )
+                for name, held in context.held.items()
+            ),
+            facts=context.facts,
+            demand=demand,
+            store_loads_allowed=2,
+            observed_s=now - NOW + 30.0,
+        )
+        for order in plan_models(state):
+            held = context.held[order.engine]
+            held.discard(order.model) if not order.load else held.add(order.model)
+        for name in context.busy:
+            if not any(name in held for held in context.held.values()):
+                context.lost.append((now, name))
+
+
+@then("every busy model keeps a replica")
+def check_busy_kept(context: Any) -> None:
+    assert not context.lost, context.lost[:3]
+
+
+@given("a weight store that allows {rate:g} loads a second")
+def make_weight_store(context: Any, rate: float) -> None:
+    context.rate = rate
+
+
+@when("holders follow each other every {seconds:d} seconds and each loads all it may")
+def follow_each_other(context: Any, seconds: int) -> None:
+    context.loads = []
+    for number in range(20):
+        bucket = LoadRate(now=number * float(seconds))
+        bucket.set_rate(context.rate)
+        for tick in range(seconds * 50):
+            now = number * seconds + tick * 0.02
+            for _ in range(bucket.allowed(now)):
+                bucket.spend()
+                context.loads.append(now)
+
+
+@then("no 5 seconds hold more than {most:d} loads")
+def check_load_rate(context: Any, most: int) -> None:
+    for start in context.loads:
+        assert sum(start <= at < start + 5.0 for at in context.loads) <= most
+
+
+@given("an engine whose 8 adapter places are full")
+def fill_adapters(context: Any) -> None:
+    context.engine = EngineState(
+        name="e0",
+        availability_zone="x",
+        capacity_mb=CAPACITY,
+        adapter_places=8,
+        sequence=5,
+        busy=False,
+        models={"m0": frozenset(f"a{n}" for n in range(8))},
+    )
+
+
+def plan_ninth(context: Any, waiting: int) -> list[PlannedOrder]:
+    demand = {("m0", f"a{n}"): Demand(tokens_per_ms=0.1, last_asked_at=NOW - n) for n in range(8)}
+    demand[("m0", "a9")] = Demand(tokens_per_ms=1.0, waiting=waiting, last_asked_at=NOW)
+    state = FleetState(now=NOW, engines=(context.engine,), facts=FACTS, adapter_demand=demand)
+    return plan_adapters(state, frozenset())
+
+
+@when("a request waits for a ninth adapter")
+def wait_for_ninth(context: Any) -> None:
+    context.orders = plan_ninth(context, 1)
+
+
+@then("the adapter that was asked for longest ago is dropped")
+def check_oldest_dropped(context: Any) -> None:
+    assert [(order.load, order.adapter) for order in context.orders] == [(False, "a7")]
+
+
+@then("nothing is dropped for an adapter that nobody waits for")
+def check_nothing_dropped(context: Any) -> None:
+    assert plan_ninth(context, 0) == []
--- /dev/null
+++ b/tests/steps/tenure_steps.py
@@ -0,0 +1,147 @@
+"""Steps on the right to order, on the pure rules."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given
+from behave import then
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import rule
+from hypothesis.stateful import run_state_machine_as_test
+
+from cactusshunt.membership.tenure import StoreWord
+from cactusshunt.membership.tenure import Tenure
+from cactusshunt.membership.tenure import begin_tenure
+from cactusshunt.membership.tenure import confirm_outage
+from cactusshunt.membership.tenure import extend_tenure
+
+LEASE_S = 1.6
+TURN_S = 3.0
+VMS = ("a", "b", "c")
+
+
+class Elections(RuleBasedStateMachine):
+    """A store with one key, VMs that learn of changes late, and orders whenever allowed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100.0
+        self.token = 0
+        self.key: str | None = None
+        self.key_lapses_at = 0.0
+        self.former: list[str] = []
+        self.tenures = {vm: Tenure() for vm in VMS}
+        self.last = {vm: Tenure() for vm in VMS}
+        self.orders: list[tuple[float, str, int]] = []
+
+    @rule(step=st.floats(0.05, 0.9))
+    def pass_time(self, step: float) -> None:
+        end = self.now + step
+        while self.now < end:
+            self.now = min(end, self.now + 0.05)
+            if self.key is not None and self.now >= self.key_lapses_at:
+                self.key = None
+            for vm, tenure in self.tenures.items():
+                if tenure.holds(self.now):
+                    self.order(vm, tenure.token)
+
+    @rule(vm=st.sampled_from(VMS))
+    def renew(self, vm: str) -> None:
+        if self.key == vm and self.tenures[vm].elected:
+            self.key_lapses_at = self.now + LEASE_S
+            self.tenures[vm] = extend_tenure(self.tenures[vm], renewed_at=self.now, lease_s=LEASE_S)
+
+    @rule()
+    def revoke(self) -> None:
+        self.key = None
+
+    @rule(vm=st.sampled_from(VMS))
+    def run_for_holder(self, vm: str) -> None:
+        if self.key is not None:
+            return
+        self.token += 1
+        self.key, self.key_lapses_at = vm, self.now + LEASE_S
+        self.tenures[vm] = begin_tenure(
+            token=self.token,
+            now=self.now,
+            renewed_at=self.now,
+            lease_s=LEASE_S,
+            turn_s=TURN_S,
+            vm=vm,
+            former=self.former,
+            previous=self.last[vm],
+        )
+        self.last[vm] = self.tenures[vm]
+        self.former = [*self.former[-3:], vm]
+
+    @rule(vm=st.sampled_from(VMS))
+    def restart(self, vm: str) -> None:
+        self.tenures[vm] = Tenure()
+        self.last[vm] = Tenure()
+
+    def order(self, vm: str, token: int) -> None:
+        for _, other, other_token in self.orders:
+            assert other_token < token or (other_token == token and other == vm)
+        turns = [at for at, other, _ in self.orders if other == vm]
+        others = [at for at, other, _ in self.orders if other != vm]
+        if turns and others and others[-1] > turns[-1]:
+            assert self.now - turns[-1] >= TURN_S, (vm, self.now, turns[-1])
+        self.orders = [*self.orders[-60:], (self.now, vm, token)]
+
+
+@given("a store that elects holders over leases and takes keys away at any moment")
+def make_elections(context: Any) -> None:
+    context.machine = Elections
+
+
+@then(
+    "in every history no VM orders after another one began, "
+    "and none takes turns within the lease time"
+)
+def run_elections(context: Any) -> None:
+    run_state_machine_as_test(
+        context.machine, settings=settings(max_examples=150, stateful_step_count=40)
+    )
+
+
+@given("{peers:d} other VMs")
+def make_peers(context: Any, peers: int) -> None:
+    context.peers = peers
+
+
+def confirm(context: Any, words: list[StoreWord], own_silent_s: float = 2.0) -> bool:
+    return confirm_outage(now=50.0, own_silent_s=own_silent_s, words=words, peers=context.peers)
+
+
+def silent(count: int, heard_at: float = 49.8) -> list[StoreWord]:
+    return [StoreWord(heard_at=heard_at, silent_s=2.0) for _ in range(count)]
+
+
+@then("a holder goes on when all say that the store is silent")
+def check_all(context: Any) -> None:
+    assert confirm(context, silent(context.peers))
+    assert not confirm(context, silent(context.peers), own_silent_s=0.1)
+
+
+@then("a holder goes on when {heard:d} of them say so and 3 are not heard")
+def check_majority(context: Any, heard: int) -> None:
+    assert confirm(context, silent(heard))
+
+
+@then("a holder stops when only {heard:d} of them are heard")
+def check_minority(context: Any, heard: int) -> None:
+    assert not confirm(context, silent(heard))
+
+
+@then("a holder stops when one of them reaches the store")
+def check_contradiction(context: Any) -> None:
+    words = [*silent(6), StoreWord(heard_at=49.5, silent_s=0.1)]
+    assert not confirm(context, words)
+
+
+@then("a holder stops when the words are old")
+def check_old(context: Any) -> None:
+    assert not confirm(context, silent(context.peers, heard_at=49.0))
