--- a/src/cactusshunt/membership/membership_task.py
+++ b/src/cactusshunt/membership/membership_task.py
@@ -19,6 +19,7 @@
 from cactusshunt.exceptions import StoreError
 from cactusshunt.membership.peer_link import PeerRecord
 from cactusshunt.membership.tenure import RENEWAL_PART
+from cactusshunt.membership.tenure import SILENCE_S
 from cactusshunt.membership.tenure import StoreWord
 from cactusshunt.membership.tenure import Tenure
 from cactusshunt.membership.tenure import begin_tenure
@@ -165,7 +166,13 @@
             await self._pause(self._lease_s * RENEWAL_PART * self._random.uniform(0.85, 1.0))
 
     async def leave(self) -> None:
-        """Give up the right and the record; the lease's keys go with it."""
+        """Give up the right and the record; the lease's keys go with it.
+
+        While the store is out of reach nobody could take over, so the right is kept to the end.
+        """
+        if self.may_order(self._now()) and self.store_silent_s(self._now()) >= SILENCE_S:
+            log_event("right_kept_to_the_end", token=self._tenure.token)
+            return
         self.stopping = True
         self._tenure = Tenure()
         if self._lease:
@@ -200,10 +207,14 @@
     async def _run_for_holder(self) -> None:
         if not self._synced or self._holder is not None or self._vacant_since is None:
             return
-        names = rank_nodes([self._vm, *self._link.peers], "holder")
         former = self._former_before(None)
-        rank = 0 if former and former[-1] == self._vm else 1 + names.index(self._vm)
-        delay = election_delay_s(rank, self._lease_s)
+        delay = election_delay_s(
+            vm=self._vm,
+            ranked=rank_nodes([self._vm, *self._link.peers], "holder"),
+            former=former,
+            previous=self._last_tenure,
+            lease_s=self._lease_s,
+        )
         if self._now() < self._vacant_since + delay:
             return
         value = f"{self._vm}/{self._incarnation}".encode()
--- a/src/cactusshunt/membership/tenure.py
+++ b/src/cactusshunt/membership/tenure.py
@@ -15,6 +15,9 @@
 VALIDITY_PART = 0.55  # of a lease: after it the holder stops, long before the lease can lapse
 RENEWAL_PART = 0.25  # of a lease between two renewals
 NO_TOKEN = 0
+ELECTION_STEP_S = 0.02  # before the first VM runs, for the store's other news to arrive
+RANK_PART = 0.2  # of a lease between the VMs that run one after the other
+LONGEST_DELAY_PART = 2.0  # of a lease, for the last of many VMs
 SILENCE_S = 0.7  # without an answer of the store, after which it counts as out of reach
 PEER_WORD_S = 0.5  # for which a peer's word about the store counts
 CONTRADICTION_S = 1.0  # for which a peer's word that it reaches the store counts
@@ -75,9 +78,20 @@
     )
 
 
-def election_delay_s(rank: int, lease_s: float) -> float:
-    """Return how long a VM of a rank waits before it runs for the right."""
-    return 0.02 + rank * 0.2 * lease_s
+def election_delay_s(
+    *, vm: str, ranked: Sequence[str], former: Sequence[str], previous: Tenure, lease_s: float
+) -> float:
+    """Return how long a VM waits before it runs for the right.
+
+    The last holder comes first if its process lives on, since it need not wait for anyone; VMs
+    that would have to wait longest for their turn come last.
+    """
+    if former and former[-1] == vm and previous.elected:
+        return ELECTION_STEP_S
+    rank = 1 + ranked.index(vm)
+    if vm in former:
+        rank += len(ranked)
+    return ELECTION_STEP_S + min(rank * RANK_PART * lease_s, LONGEST_DELAY_PART * lease_s)
 
 
 @dataclass(frozen=True, kw_only=True)
