Bound waits by the caller's patience and Retry-After by what callers keep

Cause: requests that could have been served late were refused with a time to come back that their callers would not wait, or sent back after a wait because their time in the queue counted from their arrival.

--- a/src/cactusshunt/platform/documents.py
+++ b/src/cactusshunt/platform/documents.py
@@ -37,6 +37,12 @@
     traffic_split: list[WeightedService] = []
     attempts: int = 1
     can_resume: bool = False
+    gap_aim_ms: float = 0.0
+
+    @property
+    def patience_ms(self) -> float:
+        """Return the silence after which callers leave a stream, also before its first event."""
+        return max(2_000.0, 4.0 * self.target_latency_ms, 8.0 * self.gap_aim_ms)
 
     @property
     def repeatable(self) -> bool:
--- a/src/cactusshunt/requests/job.py
+++ b/src/cactusshunt/requests/job.py
@@ -67,3 +67,11 @@
     def left_ms(self, now: float) -> float:
         """Return the time until the final answer."""
         return max(0.0, (self.deadline - now) * 1000.0)
+
+    def patience_ms(self, now: float) -> float:
+        """Return the time for which the caller still waits for a first byte."""
+        left = self.left_ms(now)
+        if not self.route.streams:
+            return left
+        waited = (now - self.request.arrived_at) * 1000.0
+        return min(left, max(0.0, self.route.patience_ms - waited))
--- a/src/cactusshunt/requests/upstream_picker.py
+++ b/src/cactusshunt/requests/upstream_picker.py
@@ -13,7 +13,6 @@
 from cactusshunt.requests.admission import Refusal
 from cactusshunt.requests.admission import judge_expected_wait
 from cactusshunt.requests.admission import judge_placement_wait
-from cactusshunt.requests.admission import placement_wait_s
 from cactusshunt.routing.choice import Candidate
 from cactusshunt.routing.choice import choose_engine
 from cactusshunt.routing.choice import choose_service_upstream
@@ -92,14 +91,12 @@
         """Wait while the item is on its way and comes in time."""
         assert job.generation is not None
         began = self._now()
-        until = began + placement_wait_s(
-            target_ms=job.route.target_latency_ms, left_ms=job.left_ms(began)
-        )
+        left_ms = job.patience_ms(began)
         while not job.done and not job.connection.gone:
             refusal = judge_placement_wait(
                 now=self._now(),
                 began=began,
-                until=until,
+                left_ms=left_ms,
                 expected_at=self._expected_at(job),
             )
             if refusal is not None:
@@ -162,9 +159,8 @@
         chosen = candidates[choice.name]
         refusal = judge_expected_wait(
             expected_ms=choice.expected_ms,
-            elapsed_ms=(now - job.request.arrived_at) * 1000.0,
             target_ms=job.route.target_latency_ms,
-            left_ms=job.left_ms(now),
+            left_ms=job.patience_ms(now),
         )
         if refusal is not None:
             return Picked(refusal=refusal)
