--- a/src/cactusshunt/placement/adapter_plan.py
+++ b/src/cactusshunt/placement/adapter_plan.py
@@ -17,6 +17,7 @@
 
 RECENT_S = 2.0  # an adapter asked for within this time is placed where room is free
 REPLICA_TOKENS_PER_MS = 3.0  # demand that one replica of an adapter should take
+PLACES_KEPT = 1  # left free on each engine, so that one that is waited for finds room at once
 
 
 def plan_adapters(state: FleetState, taken: frozenset[str]) -> list[PlannedOrder]:
@@ -26,6 +27,13 @@
         for engine in state.engines
         if engine.name not in taken and not engine.busy
     }
+    orders = _plan_asked(state, engines)
+    orders += _plan_ahead(state, engines)
+    return orders
+
+
+def _plan_asked(state: FleetState, engines: dict[str, EngineState]) -> list[PlannedOrder]:
+    """Place what callers ask for; takes the engines used out of ``engines``."""
     orders = []
     wanted = sorted(
         state.adapter_demand.items(), key=lambda pair: (-pair[1].waiting, -pair[1].tokens_per_ms)
@@ -52,6 +60,42 @@
     return orders
 
 
+def _plan_ahead(state: FleetState, engines: dict[str, EngineState]) -> list[PlannedOrder]:
+    """Fill free places with adapters that no engine holds, those asked for most often first."""
+    held = {
+        (model, adapter)
+        for engine in state.engines
+        for model, adapters in engine.models.items()
+        for adapter in adapters
+    }
+    orders = []
+    for engine in engines.values():
+        if engine.adapter_count() >= engine.adapter_places - PLACES_KEPT:
+            continue
+        missing = [
+            (model, adapter)
+            for model in engine.models
+            if model in state.facts
+            for adapter in state.facts[model].adapters
+            if (model, adapter) not in held
+        ]
+        if not missing:
+            continue
+        best = max(missing, key=lambda pair: _worth(state, pair))
+        order = _plan_one(state, engine, *best)
+        if order is not None and order.load:
+            held.add(best)
+            orders.append(order)
+    return orders
+
+
+def _worth(state: FleetState, pair: tuple[str, str]) -> tuple[float, float]:
+    """Return how often an adapter is asked for, and how much its model is."""
+    own = state.adapter_demand.get(pair, Demand())
+    model = state.demand.get(pair[0], Demand())
+    return own.usual_per_s, model.tokens_per_ms
+
+
 def _lacks(engine: EngineState, model: str, adapter: str) -> bool:
     return model in engine.models and adapter not in engine.models[model]
 
--- a/src/cactusshunt/placement/fleet_state.py
+++ b/src/cactusshunt/placement/fleet_state.py
@@ -18,12 +18,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ModelFacts:
-    """Size of a model and of one of its adapters (MB), and load times (s) by source."""
+    """Size of a model and of one of its adapters (MB), load times (s) by source, adapter names."""
 
     name: str
     size_mb: float
     adapter_mb: float
     load_s: dict[WeightSource, float]
+    adapters: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -41,6 +41,7 @@
 UNLOAD_S = 0.3  # usual time from the order to the answer that room was made
 STORE_PENALTY_S = 1.0  # loads from the weight store are limited and serve all engines
 SAME_ZONE_S = 0.6  # replicas are spread over zones, since bytes between zones are dear
+ADAPTER_HOST_S = 1.0  # per second of load and request a second for adapters held up meanwhile
 VICTIM_S = 4.0  # seconds of load time that one request a second is worth
 
 
@@ -185,6 +186,7 @@
         fact = self._state.facts[need.model]
         source = engine.source_of(need.model)
         price = fact.load_s[source] + self._engine_load(engine)
+        price += ADAPTER_HOST_S * fact.load_s[source] * self._adapter_rate(engine)
         if (need.model, engine.availability_zone) in self._zones:
             price += SAME_ZONE_S
         if source is WeightSource.STORE:
@@ -238,6 +240,17 @@
         """Return the share of an engine's prefill time that its models take."""
         return sum(self._load(model) / max(1, self.present[model]) for model in engine.models)
 
+    def _adapter_rate(self, engine: EngineState) -> float:
+        """Return the share of requests for adapters that an engine's models take part in.
+
+        An engine takes no order for an adapter while it loads a model.
+        """
+        rate = 0.0
+        for (model, _), demand in self._state.adapter_demand.items():
+            if model in engine.models:
+                rate += demand.usual_per_s / max(1, self.present[model])
+        return rate
+
     def _harm(self, model: str, replicas: int) -> float:
         """Return the requests a second that come late or not at all with so many replicas."""
         demand = self._state.demand.get(model, Demand())
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -267,6 +267,7 @@
             name=model.name,
             size_mb=model.weights_size_mb,
             adapter_mb=model.adapter_mb,
+            adapters=model.adapter_names,
             load_s={
                 WeightSource.MEMORY: model.warm_s or model.load_s,
                 WeightSource.DISK: model.disk_s or model.load_s,
--- a/src/cactusshunt/platform/documents.py
+++ b/src/cactusshunt/platform/documents.py
@@ -63,8 +63,14 @@
     load_s: float = 5.0
     warm_s: float | None = None
     disk_s: float | None = None
+    adapters: int = 0
     adapter_mb: float = 0.0
 
+    @property
+    def adapter_names(self) -> tuple[str, ...]:
+        """Return the names of the model's adapters."""
+        return tuple(f"a{number}" for number in range(1, self.adapters + 1))
+
 
 class EngineSpec(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """What every engine of a service offers: MB for weights, adapter places, tokens."""
