--- a/src/cactusshunt/configuration/platform_view.py
+++ b/src/cactusshunt/configuration/platform_view.py
@@ -24,7 +24,7 @@
 CALL_TIMEOUT_S = 0.8  # far above the store's usual answer, below what a configuration may take
 FIRST_PAUSE_S = 0.08
 LONGEST_PAUSE_S = 0.6
-GATHER_S = 0.25  # changes that come in quick succession are read in one call
+GATHER_S = 0.5  # changes that come in quick succession are read in one call
 WAIT_PART = 0.65  # of the time in which a configuration must be in force
 
 
--- a/src/cactusshunt/membership/membership_task.py
+++ b/src/cactusshunt/membership/membership_task.py
@@ -44,6 +44,7 @@
 LAST_HOLDER_KEY = OWN_PREFIX + "last-holder"
 FORMER_HOLDERS = 3  # kept besides the present one; more can't take over within one lease's turn
 LEASE_S = 1.6  # two lost renewals of a quarter each leave a quarter to stop in
+REGISTRATION_MEMORY_S = 60.0  # a VM that is stopped or replaced is back long before
 CALL_TIMEOUT_S = 0.5
 SLEEP_TOLERANCE_S = 0.25  # of a VM's suspension, above which its right counts as lapsed
 
@@ -85,6 +86,7 @@
         self._store_heard_at = reactor.seconds()
         self._store_words: dict[str, StoreWord] = {}
         self._in_outage = False
+        self._registered_vms: dict[str, tuple[float, str]] = {}
         self._random = random.Random(vm)
         self.stopping = False
 
@@ -107,9 +109,10 @@
             return False
         outage = confirm_outage(
             now=now,
+            own_zone=self._record.availability_zone,
             own_silent_s=self.store_silent_s(now),
             words=list(self._store_words.values()),
-            peers=len(self._link.peers),
+            zones_of_vms=self._zones_of_vms(now),
         )
         if outage != self._in_outage:
             self._in_outage = outage
@@ -126,7 +129,11 @@
 
     def take_store_word(self, vm: str, silent_s: float) -> None:
         """Take a peer's word about the store."""
-        self._store_words[vm] = StoreWord(heard_at=self._now(), silent_s=silent_s)
+        known = self._registered_vms.get(vm)
+        if known is not None:
+            self._store_words[vm] = StoreWord(
+                availability_zone=known[1], heard_at=self._now(), silent_s=silent_s
+            )
 
     @property
     def holder(self) -> str | None:
@@ -260,6 +267,19 @@
         log_event("right_won", token=item.revision, former=former, waits_s=waits_s)
         self._on_elected()
 
+    def _zones_of_vms(self, now: float) -> list[str]:
+        """Return the zones of this VM and of those that were registered lately."""
+        for vm in self._link.peers:
+            known = self._registered_vms.get(vm)
+            if known is not None:
+                self._registered_vms[vm] = (now, known[1])
+        self._registered_vms = {
+            vm: (at, zone)
+            for vm, (at, zone) in self._registered_vms.items()
+            if now - at < REGISTRATION_MEMORY_S
+        }
+        return [self._record.availability_zone, *(z for _, z in self._registered_vms.values())]
+
     def _former_before(self, revision: int | None) -> list[str]:
         """Return the holders before a revision of the store, the last one last."""
         known = [names for at, names in self._former if revision is None or at < revision]
@@ -271,6 +291,8 @@
             if vm == self._vm and not self.stopping:
                 self._registered = False
             self._link.set_peer(vm, None)
+            if vm in self._registered_vms:
+                self._registered_vms[vm] = (self._now(), self._registered_vms[vm][1])
             return
         try:
             record = msgspec.json.decode(item.value, type=PeerRecord)
@@ -278,6 +300,8 @@
             log_event("record_unreadable", key=item.key)
             return
         self._link.set_peer(vm, record)
+        if vm != self._vm:
+            self._registered_vms[vm] = (self._now(), record.availability_zone)
 
     def _drop_lease(self, reason: str) -> None:
         if self._tenure.elected:
--- a/src/cactusshunt/membership/tenure.py
+++ b/src/cactusshunt/membership/tenure.py
@@ -98,24 +98,36 @@
 class StoreWord:
     """What a VM said of the store: when it was heard, and how long the store has been silent."""
 
+    availability_zone: str
     heard_at: float
     silent_s: float
 
 
 def confirm_outage(
-    *, now: float, own_silent_s: float, words: Sequence[StoreWord], peers: int
+    *,
+    now: float,
+    own_zone: str,
+    own_silent_s: float,
+    words: Sequence[StoreWord],
+    zones_of_vms: Sequence[str],
 ) -> bool:
     """Tell whether the store is out of reach for all, so that no other holder can be elected.
 
-    A majority of the VMs, this one included, must say so just now, and nobody the contrary.
-    ``peers`` counts the other VMs that were registered when the store was last heard.
+    A majority of the VMs, this one included, must say so just now, from two zones where there are
+    several, and nobody the contrary. ``zones_of_vms`` has an entry for each VM, this one included,
+    that was registered within the last minute: VMs that are being restarted count.
     """
     if own_silent_s < SILENCE_S:
         return False
     for word in words:
         if word.silent_s < SILENCE_S and now - word.heard_at < CONTRADICTION_S:
             return False
-    agreeing = sum(
-        1 for word in words if word.silent_s >= SILENCE_S and now - word.heard_at < PEER_WORD_S
-    )
-    return 2 * (agreeing + 1) > peers + 1
+    agreeing = [
+        word.availability_zone
+        for word in words
+        if word.silent_s >= SILENCE_S and now - word.heard_at < PEER_WORD_S
+    ]
+    zones = {own_zone, *agreeing}
+    if len(zones) < min(2, len({own_zone, *zones_of_vms})):
+        return False
+    return 2 * (len(agreeing) + 1) > len(zones_of_vms)
--- a/src/cactusshunt/placement/engine_ledger.py
+++ b/src/cactusshunt/placement/engine_ledger.py
@@ -14,7 +14,7 @@
     from cactusshunt.platform.documents import EngineReport
 
 ENTRY_LAG_S = 3.0  # engines write to the store about every second, seen up to a second later
-REPORT_LAG_S = 0.11  # engines report their state as it was a tenth of a second ago
+REPORT_LAG_S = 0.14  # engines report their state as it was a tenth of a second ago
 REPORT_STEP_S = 0.06  # between two reports while an order is under way
 UNLOAD_S = 0.3  # usual time from the order to the answer that room was made
 LATE_S = 1.0  # by which a load may be late before it is no longer expected
@@ -39,6 +39,8 @@
     known: bool = False
     busy: bool = False
     calling: bool = False
+    busy_since: float | None = None
+    busy_until: float = 0.0
     report_due_at: float | None = 0.0
     rests_until: float = 0.0
     coming: dict[str, float] = field(default_factory=dict)
@@ -118,6 +120,8 @@
                 adapters.discard(order.adapter)
             return
         self.busy = True
+        self.busy_since = now
+        self.busy_until = now + load_s if order.load else now
         if order.load:
             self.reserved_for = None
             self.coming[order.model] = now + load_s
--- a/src/cactusshunt/placement/load_rate.py
+++ b/src/cactusshunt/placement/load_rate.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-SAVED_LOADS = 2.0  # loads that may begin at once after a pause
-RATE_PART = 0.95  # of the allowed rate
+SAVED_LOADS = 2.5  # loads that may begin at once after a pause
+RATE_PART = 1.0  # of the allowed rate; the bound has a tenth and three loads above it
 
 
 class LoadRate:
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -117,7 +117,17 @@
         if report is None:
             ledger.report_due_at = now + REST_S
             return
+        began, expected = ledger.busy_since, ledger.busy_until
         ledger.take_report(report, now)
+        if began is not None and not ledger.busy:
+            ledger.busy_since = None
+            log_event(
+                "order_done",
+                upstream=ledger.name,
+                took_ms=int((now - began) * 1000),
+                expected_ms=int((expected - began) * 1000),
+                under_way=sum(1 for other in self._ledgers.values() if other.busy),
+            )
         if ledger.can_take_order(now):
             self.tick()
 
--- a/tests/steps/tenure_steps.py
+++ b/tests/steps/tenure_steps.py
@@ -107,41 +107,60 @@
     )
 
 
-@given("{peers:d} other VMs")
-def make_peers(context: Any, peers: int) -> None:
-    context.peers = peers
+@given("{peers:d} other VMs in {zones:d} zones")
+def make_peers(context: Any, peers: int, zones: int) -> None:
+    context.zones = [f"z{number % zones}" for number in range(peers + 1)]
+    context.own_zone, *context.peer_zones = context.zones
 
 
 def confirm(context: Any, words: list[StoreWord], own_silent_s: float = 2.0) -> bool:
-    return confirm_outage(now=50.0, own_silent_s=own_silent_s, words=words, peers=context.peers)
+    return confirm_outage(
+        now=50.0,
+        own_zone=context.own_zone,
+        own_silent_s=own_silent_s,
+        words=words,
+        zones_of_vms=context.zones,
+    )
 
 
-def silent(count: int, heard_at: float = 49.8) -> list[StoreWord]:
-    return [StoreWord(heard_at=heard_at, silent_s=2.0) for _ in range(count)]
+def silent(context: Any, count: int, heard_at: float = 49.8) -> list[StoreWord]:
+    return [
+        StoreWord(availability_zone=zone, heard_at=heard_at, silent_s=2.0)
+        for zone in context.peer_zones[:count]
+    ]
 
 
 @then("a holder goes on when all say that the store is silent")
 def check_all(context: Any) -> None:
-    assert confirm(context, silent(context.peers))
-    assert not confirm(context, silent(context.peers), own_silent_s=0.1)
+    words = silent(context, len(context.peer_zones))
+    assert confirm(context, words)
+    assert not confirm(context, words, own_silent_s=0.1)
 
 
 @then("a holder goes on when {heard:d} of them say so and 3 are not heard")
 def check_majority(context: Any, heard: int) -> None:
-    assert confirm(context, silent(heard))
+    assert confirm(context, silent(context, heard))
 
 
 @then("a holder stops when only {heard:d} of them are heard")
 def check_minority(context: Any, heard: int) -> None:
-    assert not confirm(context, silent(heard))
+    assert not confirm(context, silent(context, heard))
 
 
 @then("a holder stops when one of them reaches the store")
 def check_contradiction(context: Any) -> None:
-    words = [*silent(6), StoreWord(heard_at=49.5, silent_s=0.1)]
-    assert not confirm(context, words)
+    word = StoreWord(availability_zone="z0", heard_at=49.5, silent_s=0.1)
+    assert not confirm(context, [*silent(context, 6), word])
 
 
 @then("a holder stops when the words are old")
 def check_old(context: Any) -> None:
-    assert not confirm(context, silent(context.peers, heard_at=49.0))
+    assert not confirm(context, silent(context, len(context.peer_zones), heard_at=49.0))
+
+
+@then("a holder stops when only VMs of its own zone are heard, however many")
+def check_own_zone(context: Any) -> None:
+    context.zones = ["z0"] * 6 + ["z1"] * 2
+    context.own_zone, *context.peer_zones = context.zones
+    assert not confirm(context, silent(context, 5))
+    assert confirm(context, silent(context, 6))
