Tell a finished load from the news of its order

Cause: the node scenarios on stand-ins: after a load the other VMs went on refusing its model, because the news that it was there bore the same number of accepted orders as the news that it was coming, and passed for a repeat; they learnt of it from the engine's own entry seconds later. News is now numbered by the holder. Ruled out: lost datagrams (both were received). The scenario fails without the change.

--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -51,14 +51,15 @@
 
 
 class Holdings(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Models and adapters of one engine after ``sequence`` accepted orders.
+    """Models and adapters of one engine, as its order holder knows them.
 
-    ``coming`` maps items under way to the ms until they are expected.
+    ``word`` counts what the holder has said in its time; ``coming`` maps items under way to the ms
+    until they are expected.
     """
 
     upstream: str
     born: int
-    sequence: int
+    word: int
     models: dict[str, list[str]]
     coming: dict[str, int]
 
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -218,7 +218,7 @@
                     "failure_share": round(found.suspicion.share, 2),
                     "resting": found.suspicion.resting(now),
                     "models": sorted(found.held.models),
-                    "orders": found.held.order[1],
+                    "holder_word": found.held.order[1],
                 }
                 for found in self._directory.all()[:200]
             ],
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -69,6 +69,7 @@
         self._token = 0
         self.board = DemandBoard()
         self._planned_at = 0.0
+        self._words = 0
         self._plan_wanted = True
         self.orders_given = 0
         self.store_loads = 0
@@ -260,13 +261,14 @@
         if not changed:
             return
         holdings = []
+        self._words += 1
         for ledger in changed:
             ledger.changed = False
             holdings.append(
                 Holdings(
                     upstream=ledger.name,
                     born=ledger.born,
-                    sequence=ledger.sequence,
+                    word=self._words,
                     models=ledger.list_models(),
                     coming={
                         item: int((at - now) * 1000)
--- a/src/cactusshunt/routing/directory.py
+++ b/src/cactusshunt/routing/directory.py
@@ -82,7 +82,7 @@
         found = self._upstreams.get(holdings.upstream)
         if found is None or holdings.born != found.entry.born:
             return
-        order = (token, holdings.sequence)
+        order = (token, holdings.word)
         if found.held.born == holdings.born and order <= found.held.order:
             return
         now = self._clock()
--- a/src/cactusshunt/routing/upstream.py
+++ b/src/cactusshunt/routing/upstream.py
@@ -34,8 +34,7 @@
 class HeldItems:
     """Models with their adapters in one start of an engine, and what is coming.
 
-    ``order`` is the holder's token and the number of orders accepted, where the holder said so;
-    ``version`` counts the words taken.
+    ``order`` is the holder's token and the number of its word; ``version`` counts the words taken.
     """
 
     born: int = 0
