--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -14,16 +14,16 @@
 from cactusshunt.exceptions import SettingsError
 from cactusshunt.http1.caller_connection import CallerConnection
 from cactusshunt.http1.connection_pool import ConnectionPool
+from cactusshunt.membership.announcer import DEMAND_S
+from cactusshunt.membership.announcer import STATUS_S
+from cactusshunt.membership.announcer import Announcer
 from cactusshunt.membership.membership_task import LEASE_S
 from cactusshunt.membership.membership_task import MembershipTask
 from cactusshunt.membership.messages import DemandWord
-from cactusshunt.membership.messages import EngineWork
-from cactusshunt.membership.messages import ItemDemand
 from cactusshunt.membership.messages import PlacementNews
 from cactusshunt.membership.messages import Status
 from cactusshunt.membership.peer_link import PeerLink
 from cactusshunt.membership.peer_link import PeerRecord
-from cactusshunt.membership.tenure import SILENCE_S
 from cactusshunt.node_log import flush_log
 from cactusshunt.node_log import log_event
 from cactusshunt.node_log import set_log_vm
@@ -54,11 +54,6 @@
 CONNECT_TIMEOUT_S = 0.3  # a hundred times a connection's usual set-up between zones
 STORE_CONNECT_TIMEOUT_S = 0.5
 ORDER_TICK_S = 0.05
-STATUS_S = 0.2  # a prompt's prefill takes about half of it
-DEMAND_S = 0.4  # placement follows demand that moves within seconds
-SILENT_EVERY = 8  # words of demand between two that name silent items too, for a new holder
-MANY_VMS = 16  # above it work is told in the own zone only
-HURRY_S = 0.01  # requests that begin to wait together are told in one datagram
 HOUSEKEEPING_S = 1.0
 LOG_FLUSH_S = 0.1
 LISTEN_BACKLOG = 512
@@ -74,10 +69,6 @@
         self._settings_seen = self._settings_state()
         bounds = settings.bounds
         self._version = 0
-        self._sent = 0
-        self._hurried = False
-        self._told_work = False
-        self._demand_words = 0
         self._stopping_since: float | None = None
         self._pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
         self._order_pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
@@ -120,11 +111,22 @@
             directory=self._directory,
             meter=self._meter,
             availability_zone=settings.zone,
-            hurry=self._hurry,
+            hurry=lambda: self._announcer.hurry(),
         )
         self._directory.on_change = self._picker.wake
         self._directory.wake_later = lambda s: reactor.callLater(s, self._picker.wake)
         self._directory.on_gone = lambda upstream: self._pool.forget(upstream.address)
+        self._announcer = Announcer(
+            reactor=reactor,
+            vm=settings.node,
+            availability_zone=settings.zone,
+            link=self._link,
+            directory=self._directory,
+            meter=self._meter,
+            membership=self._membership,
+            take_demand=self._take_demand,
+            plan_now=self._plan_now,
+        )
         relay = Relay(
             reactor=reactor,
             pool=self._pool,
@@ -153,8 +155,8 @@
         start_coroutine(self._view.run())
         start_coroutine(self._membership.run())
         self._repeat(ORDER_TICK_S, self._orders.tick)
-        self._repeat(STATUS_S, self._send_status)
-        self._repeat(DEMAND_S, self._send_demand)
+        self._repeat(STATUS_S, self._announcer.send_status)
+        self._repeat(DEMAND_S, self._announcer.send_demand)
         self._repeat(HOUSEKEEPING_S, self._keep_house)
         self._repeat(LOG_FLUSH_S, flush_log)
 
@@ -254,85 +256,27 @@
         log_event("configuration", version=configuration.version, routes=len(configuration.routes))
 
     def _receive(self, message: Message) -> None:
-        now = self._now()
         if isinstance(message, Status):
             self._directory.take_status(message)
             self._membership.take_store_word(message.vm, message.store_silent_ms / 1000.0)
             return
         if isinstance(message, DemandWord):
-            self._orders.board.take(message.vm, message.items, now)
-            if any(item.waiting for item in message.items):
-                self._orders.hurry()
+            self._take_demand(message)
             return
         for holdings in message.engines:
             self._directory.take_holdings(holdings, message.token)
 
-    def _publish(self, news: PlacementNews) -> None:
-        self._link.send(news, list(self._link.peers))
-
-    def _hurry(self) -> None:
-        """Tell the order holder soon that requests wait."""
-        if not self._hurried:
-            self._hurried = True
-            self._reactor.callLater(HURRY_S, self._send_hurried)
-
-    def _send_status(self) -> None:
-        """Tell peers about this VM's work at upstreams."""
-        self._sent += 1
-        work = [
-            EngineWork(upstream=found.name, running=found.running, pending=found.own_pending())
-            for found in self._directory.all()
-            if found.running
-        ]
-        silent_s = self._membership.store_silent_s(self._now())
-        lonely = silent_s >= SILENCE_S
-        if not work and not self._told_work and not lonely:
-            return
-        self._told_work = bool(work)
-        status = Status(
-            vm=self._settings.node,
-            sent=self._sent,
-            store_silent_ms=int(silent_s * 1000),
-            work=work,
-        )
-        self._link.send(status, list(self._link.peers) if lonely else self._near())
+    def _take_demand(self, word: DemandWord) -> None:
+        self._orders.board.take(word.vm, word.items, self._now())
+        if any(item.waiting for item in word.items):
+            self._orders.hurry()
 
-    def _send_demand(self) -> None:
-        """Tell the order holder what callers ask for."""
-        now = self._now()
-        found = self._meter.read(now)
-        self._demand_words += 1
-        if self._demand_words % SILENT_EVERY == 0:
-            found = dict.fromkeys(self._meter.all_asked(), (0.0, 0)) | found
-        demand = [
-            ItemDemand(
-                service=key[0],
-                item=key[1],
-                tokens_per_ms=round(rate, 4),
-                waiting=waiting,
-                asked=self._meter.asked(key),
-            )
-            for key, (rate, waiting) in found.items()
-        ]
-        message = DemandWord(vm=self._settings.node, items=demand)
-        self._orders.board.take(message.vm, message.items, now)
-        holder = self._membership.holder
-        if holder is not None:
-            self._link.send(message, [holder])
-
-    def _send_hurried(self) -> None:
-        self._hurried = False
-        self._send_demand()
+    def _plan_now(self) -> None:
         self._orders.hurry()
         self._orders.tick()
 
-    def _near(self) -> list[str]:
-        """Return the VMs that are told of this VM's work."""
-        peers = self._link.peers
-        if len(peers) < MANY_VMS:
-            return list(peers)
-        zone = self._settings.zone
-        return [vm for vm, peer in peers.items() if peer.record.availability_zone == zone]
+    def _publish(self, news: PlacementNews) -> None:
+        self._link.send(news, list(self._link.peers))
 
     def _keep_house(self) -> None:
         self._pool.close_expired()
--- a/src/cactusshunt/platform/headers.py
+++ b/src/cactusshunt/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+READY_PATH = b"/v1/readyz"  # asked by the balancer once a second
 REQUEST_ID = b"x-request-id"
 DEADLINE = b"x-deadline-ms"
 SEAL = b"x-response-seal"  # signature that an engine puts on its answer
--- a/src/cactusshunt/ready_page.py
+++ b/src/cactusshunt/ready_page.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from cactusshunt.http1.caller_connection import ReadingLimits
+from cactusshunt.platform.headers import READY_PATH
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,6 +19,7 @@
 LIMITS = ReadingLimits(
     header_bytes=8_192, body_bytes=1_024, header_timeout_s=2.0, idle_timeout_s=30.0
 )
+DUMP_PATH = b"/v1/dump"
 JSON = [(b"Content-Type", b"application/json")]
 
 
@@ -45,10 +47,10 @@
     def handle(self, request: ReceivedRequest, connection: CallerConnection) -> None:
         """Answer 200 or 503, or the state of the process."""
         path = request.target.partition(b"?")[0]
-        if path == b"/v1/dump":
+        if path == DUMP_PATH:
             connection.answer(200, JSON, msgspec.json.encode(self._dump()))
             return
-        if path not in (b"/v1/readyz", b"/"):
+        if path != READY_PATH:
             connection.answer(404, JSON, b"{}")
             return
         ready = self._is_ready()
--- a/src/cactusshunt/requests/final_answers.py
+++ b/src/cactusshunt/requests/final_answers.py
@@ -6,8 +6,10 @@
 
 import msgspec
 
+from cactusshunt.platform.request_headers import describe_answer
+
 if TYPE_CHECKING:
-    from cactusshunt.platform import headers as names
+    from cactusshunt.platform.headers import Headers
 
 
 class ErrorBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -20,27 +22,18 @@
 
 def describe_refusal(
     request_id: bytes, reason: str, retry_after_s: float
-) -> tuple[int, names.Headers, bytes]:
+) -> tuple[int, Headers, bytes]:
     """Return a 503: the request did not run and never will."""
-    status, headers, body = _describe(503, request_id, reason, "no")
-    headers.append((b"Retry-After", f"{retry_after_s:.2f}".encode()))
-    return status, headers, body
+    body = _encode(request_id, reason, "no")
+    return 503, describe_answer(request_id, retry_after_s), body
 
 
-def describe_failure(
-    status: int, request_id: bytes, reason: str
-) -> tuple[int, names.Headers, bytes]:
+def describe_failure(status: int, request_id: bytes, reason: str) -> tuple[int, Headers, bytes]:
     """Return a failure after which the request may have run."""
-    return _describe(status, request_id, reason, "unknown")
+    return status, describe_answer(request_id), _encode(request_id, reason, "unknown")
 
 
-def _describe(
-    status: int, request_id: bytes, reason: str, ran: str
-) -> tuple[int, names.Headers, bytes]:
-    body = msgspec.json.encode(
+def _encode(request_id: bytes, reason: str, ran: str) -> bytes:
+    return msgspec.json.encode(
         ErrorBody(error=reason, ran=ran, request_id=request_id.decode("latin-1"))
     )
-    headers: names.Headers = [(b"Content-Type", b"application/json")]
-    if request_id:
-        headers.append((b"X-Request-Id", request_id))
-    return status, headers, body
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -11,6 +11,7 @@
 from cactusshunt.http1.upstream_connection import ExchangeEnd
 from cactusshunt.node_log import log_event
 from cactusshunt.platform import headers as names
+from cactusshunt.platform.request_headers import describe_request
 from cactusshunt.requests import final_answers
 from cactusshunt.requests.outcome import Next
 from cactusshunt.requests.outcome import Outcome
@@ -35,6 +36,7 @@
     from cactusshunt.routing.directory import Directory
     from cactusshunt.routing.upstream import Upstream
 
+BODILESS_METHODS = (b"GET", b"HEAD", b"DELETE")
 MOST_SENDS = 3  # of one request, refusals by upstreams included
 ENGINE_DEADLINE_MARGIN_MS = 20  # the upstream ends first, so that its own answer can be passed on
 
@@ -158,21 +160,15 @@
         return outcome
 
     def _headers(self, job: Job, upstream: Upstream, now: float) -> names.Headers:
-        left = int(max(1.0, job.left_ms(now) - ENGINE_DEADLINE_MARGIN_MS))
-        headers = [
-            *job.headers,
-            (b"X-Deadline-Ms", str(left).encode()),
-            (b"X-Expect-Instance", upstream.name.encode()),
-        ]
-        if job.generation is not None:
-            priority = min(9, max(0, job.route.priority))
-            headers.append((b"X-Request-Priority", str(priority).encode()))
-        if job.sink.begun and job.sink.events.last_id is not None:
-            headers = [(k, v) for k, v in headers if k.lower() != names.LAST_EVENT_ID]
-            headers.append((b"Last-Event-Id", job.sink.events.last_id))
-        if job.request.body or job.request.method not in (b"GET", b"HEAD", b"DELETE"):
-            headers.append((b"Content-Length", str(len(job.request.body)).encode()))
-        return headers
+        has_body = job.request.body or job.request.method not in BODILESS_METHODS
+        return describe_request(
+            job.headers,
+            instance=upstream.name,
+            left_ms=job.left_ms(now) - ENGINE_DEADLINE_MARGIN_MS,
+            rank=job.route.priority if job.generation is not None else None,
+            resume_after=job.sink.events.last_id if job.sink.begun else None,
+            body_bytes=len(job.request.body) if has_body else None,
+        )
 
     def _judge(self, job: Job, upstream: Upstream, end: ExchangeEnd) -> Outcome:
         sink = job.sink
