--- a/tests/platform/node.feature
+++ b/tests/platform/node.feature
@@ -61,3 +61,9 @@
     When callers send broken requests and other writers broken entries
     Then the broken requests get 400, 404 or 413, and a whole stream still comes
     And both nodes logged the broken entry
+
+  Scenario: A failed request is explained from the logs of both nodes
+    Given the node deployment
+    When the plain service drops its next request without an answer
+    Then a request that may run once gets 502 and ran once
+    And "cactusshunt explain" prints its attempt and its final answer
--- a/tests/steps/node_steps.py
+++ b/tests/steps/node_steps.py
@@ -6,6 +6,8 @@
 import re
 import signal
 import socket
+import subprocess
+import sys
 import time
 import uuid
 
@@ -281,3 +283,19 @@
     time.sleep(IN_FORCE_S)
     for node in ("n1", "n2"):
         assert "entry_unreadable" in context.nodes.read_log(node)
+
+
+@then('"cactusshunt explain" prints its attempt and its final answer')
+def check_explain(context: Any) -> None:
+    time.sleep(0.5)
+    log = context.nodes.read_log("n1")
+    found = [json.loads(line) for line in log.splitlines() if '"request_failed"' in line]
+    command = [sys.executable, "-m", "cactusshunt", "explain", found[-1]["request"]]
+    result = subprocess.run(command, input=log, capture_output=True, text=True, check=False)
+    assert result.returncode == 0, result.stderr
+    assert "attempt" in result.stdout
+    assert "outcome=UNKNOWN" in result.stdout
+    assert "request_failed" in result.stdout
+    command[-1] = "nobody"
+    result = subprocess.run(command, input=log, capture_output=True, text=True, check=False)
+    assert result.returncode == 1
