--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -42,6 +42,7 @@
 STORE_PENALTY_S = 1.0  # loads from the weight store are limited and serve all engines
 SAME_ZONE_S = 0.6  # replicas are spread over zones, since bytes between zones are dear
 ADAPTER_HOST_S = 1.0  # per second of load and request a second for adapters held up meanwhile
+BLOCKED_PART = 0.3  # of requests for adapters that find theirs missing while an engine loads
 VICTIM_S = 4.0  # seconds of load time that one request a second is worth
 
 
@@ -209,7 +210,8 @@
         if not losses:
             return None
         victim = min(losses, key=lambda model: losses[model])
-        if need.gain < losses[victim] + (MOVE_PRICE if need.absent else GROW_PRICE):
+        blocked = BLOCKED_PART * fact.load_s[source] * adapter_rate
+        if need.gain < losses[victim] + blocked + (MOVE_PRICE if need.absent else GROW_PRICE):
             return None
         return price + UNLOAD_S + VICTIM_S * losses[victim], victim
 
