--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -121,6 +121,10 @@
         """Return the identities of all requests that engines ran."""
         return [run for name in self.engines for run in self._state(name)["runs"]]
 
+    def cancelled(self) -> list[str]:
+        """Return the identities of requests whose connection ended before their answer."""
+        return [run for name in self.engines for run in self._state(name)["cancelled"]]
+
     def overcommitted(self) -> bool:
         """Tell whether any engine was ordered to hold more than fits."""
         return any(self._state(name)["overcommitted"] for name in self.engines)
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -44,6 +44,7 @@
         self._busy = False
         self._faults: list[str] = []
         self._runs: list[str] = []
+        self._cancelled: list[str] = []
         self.overcommitted = False
         reactor.callWhenRunning(self.register)
 
@@ -73,7 +74,11 @@
                 self.register("draining")
             return {}
         if path == "/test/runs":
-            return {"runs": self._runs, "overcommitted": self.overcommitted}
+            return {
+                "runs": self._runs,
+                "cancelled": self._cancelled,
+                "overcommitted": self.overcommitted,
+            }
         if request.getHeader("X-Expect-Instance") not in (None, self._name):
             return encode_answer(request, {}, 421)
         if path == "/v1/report":
@@ -120,6 +125,7 @@
             request.setHeader("X-Not-Executed", "1")
             return encode_answer(request, {}, 503)
         self._runs.append(identity)
+        request.notifyFinish().addErrback(lambda _: self._cancelled.append(identity))
         if fault == "vanish":
             abort_connection(request)
             return NOT_DONE_YET
--- a/tests/platform/node.feature
+++ b/tests/platform/node.feature
@@ -67,3 +67,8 @@
     When the plain service drops its next request without an answer
     Then a request that may run once gets 502 and ran once
     And "cactusshunt explain" prints its attempt and its final answer
+
+  Scenario: The work of a caller who left ends at its engine
+    Given the node deployment
+    When a caller leaves in the middle of its stream
+    Then its engine's work ends within 0.5 seconds
--- a/tests/steps/node_steps.py
+++ b/tests/steps/node_steps.py
@@ -299,3 +299,23 @@
     command[-1] = "nobody"
     result = subprocess.run(command, input=log, capture_output=True, text=True, check=False)
     assert result.returncode == 1
+
+
+@when("a caller leaves in the middle of its stream")
+def leave_stream(context: Any) -> None:
+    context.identity = uuid.uuid4().hex
+    port = context.nodes.fronts["n1"]
+    head = (
+        "POST /s/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nX-Model: captions\r\n"
+        f"X-Request-Id: {context.identity}\r\nX-Deadline-Ms: 8000\r\n\r\n"
+    )
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as connection:
+        connection.sendall(head.encode())
+        received = b""
+        while b"id: 1" not in received:
+            received += connection.recv(4096)
+
+
+@then("its engine's work ends within {seconds:g} seconds")
+def check_cancelled(context: Any, seconds: float) -> None:
+    wait_until(lambda: context.identity in context.nodes.cancelled(), timeout_s=seconds)
