Set socket time-outs in one place

Cause: the same six options stood in http1/sockets.py and edges/tuned_endpoint.py (duplicates). Behaviour stays: each passes its own figures.

--- a/src/cactusshunt/edges/tuned_endpoint.py
+++ b/src/cactusshunt/edges/tuned_endpoint.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import socket
-
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -13,6 +11,8 @@
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
+from cactusshunt.http1.sockets import tune_socket
+
 if TYPE_CHECKING:
     from twisted.internet.base import ReactorBase
     from twisted.internet.defer import Deferred
@@ -62,14 +62,11 @@
 
 
 def _tune(protocol: Any) -> Any:
-    transport = protocol.transport
-    handle = getattr(transport, "socket", None)
-    if handle is None:
-        return protocol
-    transport.setTcpNoDelay(True)
-    handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    tune_socket(
+        protocol.transport,
+        user_timeout_ms=USER_TIMEOUT_MS,
+        idle_s=KEEPALIVE_IDLE_S,
+        interval_s=KEEPALIVE_INTERVAL_S,
+        probes=KEEPALIVE_PROBES,
+    )
     return protocol
--- a/src/cactusshunt/http1/sockets.py
+++ b/src/cactusshunt/http1/sockets.py
@@ -12,14 +12,21 @@
 KEEPALIVE_PROBES = 2
 
 
-def tune_socket(transport: Any, *, user_timeout_ms: int = USER_TIMEOUT_MS) -> None:
+def tune_socket(
+    transport: Any,
+    *,
+    user_timeout_ms: int = USER_TIMEOUT_MS,
+    idle_s: int = KEEPALIVE_IDLE_S,
+    interval_s: int = KEEPALIVE_INTERVAL_S,
+    probes: int = KEEPALIVE_PROBES,
+) -> None:
     """Let the kernel find connections whose other end is gone without a word."""
     handle = getattr(transport, "socket", None)
     if handle is None:
         return
     transport.setTcpNoDelay(True)
     handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_s)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, interval_s)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
