--- a/src/cactusshunt/requests/admission.py
+++ b/src/cactusshunt/requests/admission.py
@@ -15,6 +15,7 @@
 SHORTEST_RETRY_S = 0.1
 LONGEST_RETRY_S = 2.0
 UNORDERED_WAIT_S = 0.35  # for the order holder to hear of a request and to order what it needs
+UNORDERED_PART = 0.2  # of the time for which the caller waits, where that is longer
 UNORDERED_RETRY_S = 1.0  # about the time of one load
 LATE_LOAD_S = 0.3  # by which loads come later than expected, where several run
 
@@ -49,7 +50,7 @@
     """
     until = began + left_ms * WAIT_PART / 1000.0
     if expected_at is None:
-        if now - began < UNORDERED_WAIT_S:
+        if now - began < max(UNORDERED_WAIT_S, UNORDERED_PART * left_ms / 1000.0):
             return None
         return Refusal(
             reason="model is not placed", retry_after_s=bound_retry(UNORDERED_RETRY_S, left_ms)
