Let a further replica always serve more

The share of late requests was cut at one, so that between one and two replicas that were both far over their means the planner saw no gain, and it even dropped such a replica as worthless (tests/placement/replica_plan.feature, four scenarios failed first). Ruled out: demand that the board did not hear (refused requests are counted), and a busy order task. Now the share beyond a full one falls with each replica: each serves as many requests as before.

--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -21,7 +21,8 @@
     from cactusshunt.placement.fleet_state import FleetState
 
 EASY_SHARE = 0.22  # of an engine's prefill time, up to which requests don't wait for each other
-FULL_SHARE = 0.75  # at which nearly every request comes late
+FULL_SHARE = 0.75  # from which on further work is refused, since queues would grow
+FULL_STRAIN = 0.5  # of requests that come late or are refused at that share
 TOKENS_PER_REQUEST = 2_000  # a usual prompt, to turn tokens into requests
 UNASKED_PER_S = 0.6  # requests expected of a model that lies here and was not asked for yet
 UNASKED_S = 60.0  # time constant in which its place loses that worth
@@ -54,10 +55,17 @@
 
 
 def strain(load: float, replicas: int) -> float:
-    """Return the share of a model's requests that come late or not at all."""
+    """Return the share of a model's requests that come late or not at all.
+
+    Beyond a full share each replica serves as many requests as before, so that a further one
+    always serves more.
+    """
     if replicas <= 0:
         return 1.0
-    return min(1.0, max(0.0, (load / replicas - EASY_SHARE) / (FULL_SHARE - EASY_SHARE)))
+    share = load / replicas
+    if share <= FULL_SHARE:
+        return FULL_STRAIN * max(0.0, share - EASY_SHARE) / (FULL_SHARE - EASY_SHARE)
+    return 1.0 - (1.0 - FULL_STRAIN) * FULL_SHARE / share
 
 
 def plan_models(state: FleetState) -> list[PlannedOrder]:
--- /dev/null
+++ b/tests/placement/replica_plan.feature
@@ -0,0 +1,18 @@
+Feature: A model gets the replicas that its callers' work needs
+
+  Scenario Outline: A model asked for far beyond its replicas gets a further one
+    Given 9 engines that hold a model on <replicas> and rarely asked models elsewhere
+    When callers ask the model for the work of <work> engines
+    Then a further replica of the model is ordered
+
+    Examples:
+      | replicas | work |
+      | 1        | 2.5  |
+      | 1        | 4.0  |
+      | 2        | 4.0  |
+      | 3        | 6.0  |
+
+  Scenario: A model asked for within its replicas' means gets none
+    Given 9 engines that hold a model on 2 and rarely asked models elsewhere
+    When callers ask the model for the work of 0.4 engines
+    Then no further replica of the model is ordered
--- /dev/null
+++ b/tests/steps/replica_plan_steps.py
@@ -0,0 +1,84 @@
+"""Steps on the number of replicas of a model, on the pure planner."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from cactusshunt.placement.fleet_state import Demand
+from cactusshunt.placement.fleet_state import EngineState
+from cactusshunt.placement.fleet_state import FleetState
+from cactusshunt.placement.fleet_state import ModelFacts
+from cactusshunt.placement.fleet_state import WeightSource
+from cactusshunt.placement.model_plan import plan_models
+
+NOW = 1_000.0
+TOKENS_PER_MS = 20.0
+LOAD_S = {WeightSource.MEMORY: 0.6, WeightSource.DISK: 0.8, WeightSource.STORE: 4.0}
+
+
+@given("{engines:d} engines that hold a model on {replicas:d} and rarely asked models elsewhere")
+def make_engines(context: Any, engines: int, replicas: int) -> None:
+    context.engines = []
+    names = {"hot"}
+    for number in range(engines):
+        held = {f"rare{number}-{place}" for place in range(3)}
+        if number < replicas:
+            held = {"hot", *sorted(held)[:2]}
+        names |= held
+        context.engines.append(
+            EngineState(
+                name=f"e{number}",
+                availability_zone="xyz"[number % 3],
+                capacity_mb=230.0,
+                adapter_places=5,
+                sequence=0,
+                busy=False,
+                models=dict.fromkeys(held, frozenset()),
+            )
+        )
+    context.facts = {
+        name: ModelFacts(name=name, size_mb=70.0, adapter_mb=1.0, load_s=LOAD_S) for name in names
+    }
+
+
+@when("callers ask the model for the work of {engines:g} engines")
+def ask_hot(context: Any, engines: float) -> None:
+    demand = {
+        name: Demand(tokens_per_ms=0.05, last_asked_at=NOW - 5.0, usual_per_s=0.05)
+        for name in context.facts
+    }
+    demand["hot"] = Demand(
+        tokens_per_ms=engines * TOKENS_PER_MS, last_asked_at=NOW, usual_per_s=engines * 8.0
+    )
+    context.orders = plan_models(
+        FleetState(
+            now=NOW,
+            engines=tuple(context.engines),
+            facts=context.facts,
+            demand=demand,
+            store_loads_allowed=2,
+            tokens_per_ms=TOKENS_PER_MS,
+        )
+    )
+
+
+def find_growth(context: Any) -> list[Any]:
+    return [
+        order
+        for order in context.orders
+        if order.makes_room_for == "hot" or (order.load and order.model == "hot")
+    ]
+
+
+@then("a further replica of the model is ordered")
+def check_growth(context: Any) -> None:
+    assert find_growth(context), context.orders
+
+
+@then("no further replica of the model is ordered")
+def check_no_growth(context: Any) -> None:
+    assert not find_growth(context), context.orders
