Make room where no request has to be waited for

The time is now part of the price of a victim. Ruled out: the order itself being late (it was accepted at once). The scenario fails without it.

--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -38,7 +38,8 @@
 FRESH_S = 3.0  # after a load, in which its model is not dropped lightly
 FRESH_VALUE = 0.6
 STORE_PRICE = 1.2  # the same for a load from the weight store, if the model is held already
-UNLOAD_S = 0.3  # usual time from the order to the answer that room was made
+UNLOAD_S = 0.1  # usual time from the order to the answer that room was made
+RUN_S = 2.0  # a usual stream, for the end of which the unload of its model waits
 STORE_PENALTY_S = 1.0  # loads from the weight store are limited and serve all engines
 SAME_ZONE_S = 0.6  # replicas are spread over zones, since bytes between zones are dear
 ADAPTER_HOST_S = 1.0  # per second of load and request a second for adapters held up meanwhile
@@ -203,11 +204,16 @@
         losses = {model: loss for model, loss in found.items() if model != need.model}
         if not losses:
             return None
-        victim = min(losses, key=lambda model: losses[model])
+        victim = min(losses, key=lambda m: VICTIM_S * losses[m] + self._unload_s(m))
         blocked = BLOCKED_PART * fact.load_s[source] * adapter_rate
         if need.gain < losses[victim] + blocked + (MOVE_PRICE if need.absent else GROW_PRICE):
             return None
-        return price + UNLOAD_S + VICTIM_S * losses[victim], victim
+        return price + self._unload_s(victim) + VICTIM_S * losses[victim], victim
+
+    def _unload_s(self, model: str) -> float:
+        """Return the time until a model is gone: its last requests are finished before."""
+        demand = self._state.demand.get(model, Demand())
+        return UNLOAD_S + max(0.0, RUN_S - (self._state.now - demand.last_asked_at))
 
     def _order(self, engine: EngineState, model: str, victim: str | None, reason: str) -> None:
         self.expected.add(engine, model)
--- a/tests/placement/replica_plan.feature
+++ b/tests/placement/replica_plan.feature
@@ -22,3 +22,8 @@
     And the first engine runs at 0.15 of the usual speed
     When callers ask the model for the work of 0.2 engines
     Then a further replica of the model is ordered
+
+  Scenario: Room is made where no request has to be waited for
+    Given an engine with a model asked for 0.2 s ago, held elsewhere too, and one asked for 8 s ago
+    When callers ask for a third model that does not fit beside them
+    Then the model asked for 8 s ago makes room
--- a/tests/steps/replica_plan_steps.py
+++ b/tests/steps/replica_plan_steps.py
@@ -88,3 +88,46 @@
 @then("no further replica of the model is ordered")
 def check_no_growth(context: Any) -> None:
     assert not find_growth(context), context.orders
+
+
+@given("an engine with a model asked for 0.2 s ago, held elsewhere too, and one asked for 8 s ago")
+def hold_two(context: Any) -> None:
+    context.engines = [
+        EngineState(
+            name=f"e{number}",
+            availability_zone="x",
+            capacity_mb=150.0,
+            adapter_places=5,
+            sequence=0,
+            busy=number > 0,
+            models=dict.fromkeys(models, frozenset()),
+        )
+        for number, models in enumerate((("running", "resting"), ("running",)))
+    ]
+    context.demand = {
+        "running": Demand(tokens_per_ms=0.5, last_asked_at=NOW - 0.2, usual_per_s=0.4),
+        "resting": Demand(last_asked_at=NOW - 8.0, usual_per_s=0.05),
+        "third": Demand(tokens_per_ms=20.0, waiting=8, last_asked_at=NOW, usual_per_s=8.0),
+    }
+
+
+@when("callers ask for a third model that does not fit beside them")
+def ask_third(context: Any) -> None:
+    facts = {
+        name: ModelFacts(name=name, size_mb=70.0, adapter_mb=1.0, load_s=LOAD_S)
+        for name in context.demand
+    }
+    context.orders = plan_models(
+        FleetState(
+            now=NOW,
+            engines=tuple(context.engines),
+            facts=facts,
+            demand=context.demand,
+            store_loads_allowed=2,
+        )
+    )
+
+
+@then("the model asked for 8 s ago makes room")
+def check_resting_goes(context: Any) -> None:
+    assert [(order.load, order.model) for order in context.orders] == [(False, "resting")]
