Plan loads on busy engines that have the weights, and tell when they serve

Cause: with loads of 4 s from the weight store eight of nine engines were at work on orders all the time; a model whose weights lay on a busy engine's disk was loaded from the store elsewhere, which took that engine's order time for 4 s. The planner now weighs busy engines with the time until they are free; a need whose best engine is busy waits for it, and its callers are told when the model should serve. Ruled out: the store's rate (65 of 127 loads that it allowed).

--- a/src/cactusshunt/placement/engine_ledger.py
+++ b/src/cactusshunt/placement/engine_ledger.py
@@ -31,7 +31,8 @@
     ``report_due_at`` is the steady-clock time at which the engine is asked again, ``None`` if
     nothing is open. Reports lag, orders don't: ``confirm_due_at`` is when the load of ``loading``
     is ordered once more, which the engine answers as done once it holds the model. ``models``
-    counts items that are on their way as held.
+    counts items that are on their way as held; ``planned`` tells when models that are to be
+    ordered next should serve.
     """
 
     name: str
@@ -56,6 +57,7 @@
     changed: bool = True
     accepted_at: float = -1e9
     compared: set[str] | None = None
+    planned: dict[str, float] = field(default_factory=dict)
 
     def can_take_order(self, now: float) -> bool:
         """Tell whether the state is known and no order is open."""
@@ -79,6 +81,7 @@
             self.busy = False
             self.report_due_at = now
             self.confirm_due_at = None
+            self.loading = None
             self.changed = True
             return
         told = {model.name for model in entry.models}
@@ -104,6 +107,8 @@
         self.known = True
         self.confirm_due_at = None
         self.busy = report.busy
+        if not report.busy:
+            self.loading = None
         self.changed = True
         if report.busy:
             self.report_due_at = now + REPORT_STEP_S
@@ -148,6 +153,12 @@
         self.coming[order.makes_room_for] = now + load_s + UNLOAD_S
         self.rests_until = now + ASK_AGAIN_S
 
+    def take_planned(self, planned: dict[str, float]) -> None:
+        """Note which models will be ordered next, and when they should serve here."""
+        if planned.keys() != self.planned.keys():
+            self.changed = True
+        self.planned = planned
+
     def take_conflict(self, now: float) -> None:
         """Note that an order was refused because another one may be under way."""
         since = self.busy_until
@@ -172,6 +183,11 @@
             self.on_disk |= {self.loading}
             self.loading = None
 
+    def _free_in_s(self, now: float) -> float | None:
+        if not self.known or self.reserved_for is not None or self.loading is None:
+            return None
+        return max(0.0, self.busy_until - now)
+
     def list_models(self) -> dict[str, list[str]]:
         """Return the held items by model, those under way included."""
         return {model: sorted(adapters) for model, adapters in self.models.items()}
@@ -203,5 +219,6 @@
             on_disk=self.on_disk,
             running=running,
             speed=speed,
+            free_in_s=self._free_in_s(now),
             loaded_at=self.loaded_at,
         )
--- a/src/cactusshunt/placement/fleet_state.py
+++ b/src/cactusshunt/placement/fleet_state.py
@@ -34,6 +34,7 @@
     ``models`` maps held models to their adapters; ``coming`` are models under way;
     ``reserved_for`` names the model for which another one was dropped; ``loaded_at`` gives the
     steady-clock time of loads that this VM ordered; ``speed`` is 1 for a usual engine.
+    ``free_in_s`` is when a busy engine should take an order again, ``None`` if that is not known.
     """
 
     name: str
@@ -49,6 +50,7 @@
     on_disk: frozenset[str] = frozenset()
     running: float = 0.0
     speed: float = 1.0
+    free_in_s: float | None = None
     loaded_at: dict[str, float] = field(default_factory=dict)
 
     def source_of(self, model: str) -> WeightSource:
@@ -104,6 +106,7 @@
     demand: dict[str, Demand] = field(default_factory=dict)
     adapter_demand: dict[tuple[str, str], Demand] = field(default_factory=dict)
     store_loads_allowed: int = 0
+    store_loads_per_s: float = 1.0
     tokens_per_ms: float = 20.0
 
 
@@ -119,3 +122,20 @@
     source: WeightSource = WeightSource.MEMORY
     makes_room_for: str | None = None
     reason: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlannedArrival:
+    """A model that will be ordered when its engine is free, and when it should serve there."""
+
+    engine: str
+    model: str
+    in_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class ModelPlan:
+    """Orders to be given now, and what follows them."""
+
+    orders: list[PlannedOrder]
+    arrivals: list[PlannedArrival]
--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -13,6 +13,8 @@
 from typing import TYPE_CHECKING
 
 from cactusshunt.placement.fleet_state import Demand
+from cactusshunt.placement.fleet_state import ModelPlan
+from cactusshunt.placement.fleet_state import PlannedArrival
 from cactusshunt.placement.fleet_state import PlannedOrder
 from cactusshunt.placement.fleet_state import WeightSource
 from cactusshunt.placement.replica_strain import ReplicaTally
@@ -38,6 +40,7 @@
 FRESH_S = 3.0  # after a load, in which its model is not dropped lightly
 FRESH_VALUE = 0.6
 STORE_PRICE = 1.2  # the same for a load from the weight store, if the model is held already
+MOST_NEEDS = 32  # looked at in one plan, the most harmful ones first; a plan takes milliseconds
 UNLOAD_S = 0.1  # usual time from the order to the answer that room was made
 RUN_S = 2.0  # a usual stream, for the end of which the unload of its model waits
 STORE_PENALTY_S = 1.0  # loads from the weight store are limited and serve all engines
@@ -54,14 +57,25 @@
     absent: bool
 
 
-def plan_models(state: FleetState) -> list[PlannedOrder]:
-    """Return the next orders, at most one for each engine that is not busy."""
+def plan_models(state: FleetState) -> ModelPlan:
+    """Return the next orders, at most one for each engine that is not busy, and what follows."""
     planner = _Planner(state)
     planner.fill_reserved()
-    for need in planner.find_needs():
+    for need in planner.find_needs()[:MOST_NEEDS]:
         planner.serve(need)
     planner.keep_spare_places()
-    return planner.orders
+    return ModelPlan(orders=planner.orders, arrivals=planner.arrivals)
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Offer:
+    """A load on one engine: its price in seconds, who goes for it, and what it takes."""
+
+    engine: EngineState
+    victim: str | None
+    price: float
+    duration_s: float
+    store_wait_s: float
 
 
 class _Planner:
@@ -74,6 +88,12 @@
         self._state = state
         self.orders: list[PlannedOrder] = []
         self._engines = {engine.name: engine for engine in state.engines if not engine.busy}
+        self.arrivals: list[PlannedArrival] = []
+        self._waits = {
+            engine.name: engine.free_in_s if engine.busy else 0.0
+            for engine in state.engines
+            if engine.reserved_for is None
+        }
         self._loads_left = state.store_loads_allowed
         self.present = ReplicaTally()
         self.expected = ReplicaTally()
@@ -173,42 +193,77 @@
             self._loads_left -= 1
 
     def serve(self, need: _Need) -> None:
-        """Load a model where there is room, else make room where that harms least."""
-        best: tuple[float, EngineState, str | None] | None = None
-        for engine in self._engines.values():
-            if need.model in engine.models or engine.reserved_for is not None:
-                continue
-            found = self._price(engine, need)
-            if found is not None and (best is None or found[0] < best[0]):
-                best = (found[0], engine, found[1])
-        if best is None:
+        """Load a model where it serves soonest at the least harm, now or after what is under way.
+
+        An engine that has the weights at hand may be worth a wait, rather than that another one
+        takes no orders for the time of a load from the weight store.
+        """
+        offers = [
+            offer
+            for engine in self._state.engines
+            if (offer := self._offer(engine, need)) is not None
+        ]
+        if not offers:
             return
-        _, engine, victim = best
-        self._order(engine, need.model, victim, "absent" if need.absent else "busy")
+        best = min(offers, key=lambda offer: offer.price)
+        wait = self._waits[best.engine.name] or 0.0
+        if best.engine.name in self._engines and not best.store_wait_s:
+            self._order(best.engine, need.model, best.victim, "absent" if need.absent else "busy")
+        elif need.absent:
+            self.arrivals.append(
+                PlannedArrival(
+                    engine=best.engine.name, model=need.model, in_s=wait + best.duration_s
+                )
+            )
+        self._waits[best.engine.name] = wait + best.duration_s
 
-    def _price(self, engine: EngineState, need: _Need) -> tuple[float, str | None] | None:
-        """Return the price of a load here in seconds, and the model that goes for it."""
+    def _offer(self, engine: EngineState, need: _Need) -> _Offer | None:
+        """Return what a load here costs; ``None`` if it can't be or isn't worth it."""
+        wait = self._waits.get(engine.name)
+        if wait is None or need.model in engine.models or need.model in engine.coming:
+            return None
         fact = self._state.facts[need.model]
         source = engine.source_of(need.model)
         load, adapter_rate = self._find_busyness(engine)
-        price = fact.load_s[source] * (1.0 + ADAPTER_HOST_S * adapter_rate) + load
+        duration = fact.load_s[source]
+        price = wait + duration * (1.0 + ADAPTER_HOST_S * adapter_rate) + load
         if (need.model, engine.availability_zone) in self._zones:
             price += SAME_ZONE_S
+        store_wait = 0.0
         if source is WeightSource.STORE:
-            if self._loads_left <= 0 or (not need.absent and need.gain < STORE_PRICE):
+            if not need.absent and need.gain < STORE_PRICE:
                 return None
             price += STORE_PENALTY_S
-        if self._free_mb(engine) >= fact.size_mb:
-            return price, None
-        found = self._find_losses(engine)
-        losses = {model: loss for model, loss in found.items() if model != need.model}
-        if not losses:
-            return None
-        victim = min(losses, key=lambda m: VICTIM_S * losses[m] + self._unload_s(m))
-        blocked = BLOCKED_PART * fact.load_s[source] * adapter_rate
-        if need.gain < losses[victim] + blocked + (MOVE_PRICE if need.absent else GROW_PRICE):
-            return None
-        return price + self._unload_s(victim) + VICTIM_S * losses[victim], victim
+            if self._loads_left <= 0:
+                store_wait = (1.0 - self._loads_left) / max(0.01, self._state.store_loads_per_s)
+        victim = None
+        if self._free_mb(engine) - self._arriving_mb(engine) < fact.size_mb:
+            found = self._find_losses(engine)
+            losses = {model: loss for model, loss in found.items() if model != need.model}
+            if not losses:
+                return None
+            victim = min(losses, key=lambda m: VICTIM_S * losses[m] + self._unload_s(m))
+            blocked = BLOCKED_PART * duration * adapter_rate
+            if need.gain < losses[victim] + blocked + (MOVE_PRICE if need.absent else GROW_PRICE):
+                return None
+            price += VICTIM_S * losses[victim]
+            duration += self._unload_s(victim)
+            price += self._unload_s(victim)
+        return _Offer(
+            engine=engine,
+            victim=victim,
+            price=price + store_wait,
+            duration_s=duration + store_wait,
+            store_wait_s=store_wait,
+        )
+
+    def _arriving_mb(self, engine: EngineState) -> float:
+        """Return the MB of models under way to a busy engine."""
+        facts = self._state.facts
+        return sum(
+            facts[model].size_mb if model in facts else engine.capacity_mb
+            for model in engine.coming - engine.models.keys()
+        )
 
     def _unload_s(self, model: str) -> float:
         """Return the time until a model is gone: its last requests are finished before."""
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -30,6 +30,7 @@
     from twisted.internet.base import ReactorBase
 
     from cactusshunt.membership.tenure import Tenure
+    from cactusshunt.placement.fleet_state import PlannedArrival
     from cactusshunt.placement.fleet_state import PlannedOrder
     from cactusshunt.platform.documents import Configuration
     from cactusshunt.platform.documents import EngineSpec
@@ -197,7 +198,9 @@
         rate = self._rates.setdefault(service.name, LoadRate(now=now))
         rate.set_rate(spec.loads_per_s)
         state = self._describe(service, spec, upstreams, rate.allowed(now), now)
-        orders = plan_models(state)
+        plan = plan_models(state)
+        orders = plan.orders
+        self._note_arrivals(plan.arrivals, upstreams, now)
         taken = frozenset(order.engine for order in orders)
         orders += plan_adapters(state, taken)
         by_name = {upstream.name: upstream for upstream in upstreams}
@@ -212,6 +215,16 @@
                 load_s = state.facts[arriving].load_s[order.source]
             start_coroutine(self._give(by_name[order.engine], order, token, load_s))
 
+    def _note_arrivals(
+        self, arrivals: list[PlannedArrival], upstreams: list[Upstream], now: float
+    ) -> None:
+        """Tell when models that no engine loads yet should serve, so that their callers wait."""
+        planned: dict[str, dict[str, float]] = {upstream.name: {} for upstream in upstreams}
+        for arrival in arrivals:
+            planned[arrival.engine][arrival.model] = now + arrival.in_s
+        for name, found in planned.items():
+            self._ledgers[name].take_planned(found)
+
     def _describe(
         self,
         service: Service,
@@ -246,6 +259,7 @@
                 if "/" in item
             },
             store_loads_allowed=store_loads,
+            store_loads_per_s=spec.loads_per_s,
             tokens_per_ms=usual,
         )
 
@@ -329,7 +343,7 @@
                     models=ledger.list_models(),
                     coming={
                         item: int((at - now) * 1000)
-                        for item, at in ledger.coming.items()
+                        for item, at in (ledger.planned | ledger.coming).items()
                         if at > now
                     },
                 )
--- a/tests/steps/model_plan_steps.py
+++ b/tests/steps/model_plan_steps.py
@@ -89,7 +89,7 @@
     @given_any(fleets())
     @settings(max_examples=400)
     def run(state: FleetState) -> None:
-        check(state, plan_models(state))
+        check(state, plan_models(state).orders)
 
     run()
 
@@ -204,7 +204,7 @@
             ledger.take_report(engine.report(), now)
         if not ledger.can_take_order(now):
             continue
-        orders = plan_models(describe_one(ledger, draw, now))
+        orders = plan_models(describe_one(ledger, draw, now)).orders
         for order in orders:
             give_one(engine, ledger, order, draw, now)
 
@@ -304,7 +304,7 @@
             store_loads_allowed=2,
             observed_s=now - NOW + 30.0,
         )
-        for order in plan_models(state):
+        for order in plan_models(state).orders:
             held = context.held[order.engine]
             held.discard(order.model) if not order.load else held.add(order.model)
         for name in context.busy:
--- a/tests/steps/replica_plan_steps.py
+++ b/tests/steps/replica_plan_steps.py
@@ -69,7 +69,7 @@
             store_loads_allowed=2,
             tokens_per_ms=TOKENS_PER_MS,
         )
-    )
+    ).orders
 
 
 def find_growth(context: Any) -> list[Any]:
@@ -125,7 +125,7 @@
             demand=context.demand,
             store_loads_allowed=2,
         )
-    )
+    ).orders
 
 
 @then("the model asked for 8 s ago makes room")
