--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 
 generate: setup
 	$(RUN)/python -W ignore -m cactusshunt.schema.generate
+	$(RUN)/python -m cactusshunt.schema.generate_events
 	$(RUN)/black --quiet src/cactusshunt/schema/generated
 
 binary: setup
--- a/deploy/node.py
+++ b/deploy/node.py
@@ -12,4 +12,4 @@
 from cactusshunt.platform.boot import find_settings_file
 
 if __name__ == "__main__":
-    sys.exit(run_node(find_settings_file()))
+    sys.exit(run_node(find_settings_file(), int(sys.argv[1]) if len(sys.argv) > 1 else 0))
--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -44,6 +44,7 @@
         self._first_port = first_port
         self._folder = tempfile.TemporaryDirectory(prefix="cactusshunt-")
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._started: list[subprocess.Popen[bytes]] = []
         self._version = 0
         self.store = first_port
         self.engines = {"e1": first_port + 1, "e2": first_port + 2, "s1": first_port + 3}
@@ -62,9 +63,9 @@
             self.start_node(name)
         wait_until(lambda: all(self._knows_all(name) for name in self.fronts))
 
-    def start_node(self, name: str) -> None:
-        """Start one node."""
-        front = self.fronts[name]
+    def start_node(self, name: str, front: int = 0, metrics: int = 0) -> None:
+        """Start one node, on other ports than its own if they are given."""
+        front = front or self.fronts[name]
         path = Path(self._folder.name) / f"{name}.toml"
         text = TEMPLATE.format(
             node=name,
@@ -76,11 +77,13 @@
         )
         path.write_text(text, encoding="utf-8")
         environment = {**os.environ, "CACTUSSHUNT_BOOT": str(path)}
-        command = [sys.executable, str(ROOT / "deploy" / "node.py")]
+        command = [sys.executable, str(ROOT / "deploy" / "node.py"), str(metrics or front + 3)]
         with (Path(self._folder.name) / f"{name}.log").open("ab") as log:
-            self._processes[name] = subprocess.Popen(
+            started = subprocess.Popen(
                 command, cwd=ROOT, env=environment, stdout=log, stderr=subprocess.STDOUT
             )
+        self._started.append(started)
+        self._processes[name] = started
 
     def configure(self, routes: list[dict[str, Any]] | None = None) -> int:
         """Write a configuration as the operator does and return its version."""
@@ -134,6 +137,10 @@
         found: dict[str, Any] = json.loads(call(self.fronts[node] + 1, "GET", "/v1/dump")[2])
         return found
 
+    def metrics(self, node: str) -> str:
+        """Return a node's metrics as text."""
+        return call(self.fronts[node] + 3, "GET", "/metrics")[2].decode()
+
     def is_ready(self, node: str) -> bool:
         """Tell whether a node says that it takes callers."""
         try:
@@ -155,7 +162,7 @@
 
     def stop(self) -> None:
         """End all processes that this deployment started."""
-        for process in self._processes.values():
+        for process in self._started:
             if process.poll() is None:
                 process.kill()
                 process.wait(STOP_TIMEOUT_S)
@@ -173,9 +180,11 @@
 
     def _run(self, name: str, module: str, *arguments: str) -> None:
         command = [sys.executable, "-m", module, *arguments]
-        self._processes[name] = subprocess.Popen(
+        started = subprocess.Popen(
             command, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
         )
+        self._started.append(started)
+        self._processes[name] = started
 
 
 def standard_routes() -> list[dict[str, Any]]:
--- a/src/cactusshunt/console/application.py
+++ b/src/cactusshunt/console/application.py
@@ -10,6 +10,7 @@
 from cactusshunt.console.commands import entry
 from cactusshunt.console.commands import explain
 from cactusshunt.console.commands import node
+from cactusshunt.console.commands import report
 from cactusshunt.console.commands import settings
 from cactusshunt.console.commands import version
 
@@ -24,6 +25,7 @@
 application.command(name="control")(control.run_control)
 application.command(name="node")(node.run_node)
 application.command(name="explain")(explain.explain_request)
+application.command(name="report")(report.report_day)
 application.command(name="check")(check.check_file)
 application.command(name="dump")(dump.print_dump)
 application.add_typer(settings.application, name="settings")
--- a/src/cactusshunt/console/commands/node.py
+++ b/src/cactusshunt/console/commands/node.py
@@ -13,9 +13,12 @@
         Path | None,
         typer.Argument(help="Settings file (TOML); by default the one that the platform names."),
     ] = None,
+    metrics_port: Annotated[
+        int, typer.Option(help="Port of the metrics address; 0 for none.", min=0, max=65535)
+    ] = 0,
 ) -> None:
     """Take callers' requests and place models, as one process."""
     from cactusshunt.node import run_node as run
     from cactusshunt.platform.boot import find_settings_file
 
-    raise typer.Exit(run(settings or find_settings_file()))
+    raise typer.Exit(run(settings or find_settings_file(), metrics_port))
--- a/src/cactusshunt/exceptions.py
+++ b/src/cactusshunt/exceptions.py
@@ -93,3 +93,7 @@
 
 class OrderNotSentError(CactusshuntError):
     """An order did not leave this process, so it cannot arrive."""
+
+
+class ChartLibraryMissingError(CactusshuntError):
+    """An image was asked for and the drawing library is not installed."""
--- a/src/cactusshunt/membership/membership_task.py
+++ b/src/cactusshunt/membership/membership_task.py
@@ -291,6 +291,8 @@
         if item.value is None:
             if vm == self._vm and not self.stopping:
                 self._registered = False
+            if vm in self._link.peers:
+                log_event("peer_lost", peer=vm, peers=len(self._link.peers) - 1)
             self._link.set_peer(vm, None)
             if vm in self._registered_vms:
                 self._registered_vms[vm] = (self._now(), self._registered_vms[vm][1])
@@ -300,6 +302,9 @@
         except msgspec.DecodeError:
             log_event("record_unreadable", key=item.key)
             return
+        if vm != self._vm and vm not in self._link.peers:
+            zone = record.availability_zone
+            log_event("peer_heard", peer=vm, zone=zone, peers=len(self._link.peers) + 1)
         self._link.set_peer(vm, record)
         if vm != self._vm:
             self._registered_vms[vm] = (self._now(), record.availability_zone)
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import Factory
 from twisted.internet.task import LoopingCall
 
@@ -27,6 +28,7 @@
 from cactusshunt.node_log import flush_log
 from cactusshunt.node_log import log_event
 from cactusshunt.node_log import set_log_vm
+from cactusshunt.node_state import NodeState
 from cactusshunt.placement.demand_meter import DemandMeter
 from cactusshunt.placement.order_task import OrderTask
 from cactusshunt.platform import documents
@@ -43,6 +45,7 @@
 from cactusshunt.requests.upstream_picker import UpstreamPicker
 from cactusshunt.routing.directory import Directory
 from cactusshunt.tasks.periodic import start_coroutine
+from cactusshunt.telemetry.node_telemetry import NodeTelemetry
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -62,8 +65,11 @@
 class Node:
     """Builds the tasks, joins them, and ends them."""
 
-    def __init__(self, *, reactor: Any, settings: BootSettings, settings_path: Path) -> None:
+    def __init__(
+        self, *, reactor: Any, settings: BootSettings, settings_path: Path, metrics_port: int = 0
+    ) -> None:
         self._reactor = reactor
+        self._metrics_port = metrics_port
         self._settings = settings
         self._settings_path = settings_path
         self._settings_seen = self._settings_state()
@@ -143,14 +149,27 @@
             listener=self,
             config_bound_s=bounds.config_ms / 1000.0,
         )
+        self._state = NodeState(
+            vm=settings.node,
+            clock=reactor.seconds,
+            directory=self._directory,
+            membership=self._membership,
+            orders=self._orders,
+            callers=self._callers,
+            picker=self._picker,
+            allowance=self._allowance,
+            link=self._link,
+        )
+        self._telemetry = NodeTelemetry(read_gauges=self._state.read_gauges, statsd=settings.statsd)
 
     def start(self) -> None:
         """Listen and begin to follow the store."""
         settings = self._settings
         log_event("start", version=self._version, zone=settings.zone)
         self._listen(settings.listen.front, self._callers)
-        page = ReadyPage(is_ready=self.is_ready, dump=self.dump)
+        page = ReadyPage(is_ready=self.is_ready, dump=self._state.describe)
         self._listen(settings.listen.ready, page)
+        self._serve_metrics(settings.ip)
         self._reactor.listenUDP(settings.port_range[0], self._link, interface=settings.ip)
         start_coroutine(self._view.run())
         start_coroutine(self._membership.run())
@@ -169,6 +188,7 @@
         if self._stopping_since is not None:
             return
         self._stopping_since = self._now()
+        self._state.stopping = True
         self._callers.begin_stop(self._stopping_since)
         log_event("stop", in_flight=self._callers.in_flight)
         start_coroutine(self._membership.leave())
@@ -198,34 +218,6 @@
             return
         log_event("settings_reloaded")
 
-    def dump(self) -> dict[str, Any]:
-        """Return the state of the process, bounded in size."""
-        now = self._now()
-        return {
-            "vm": self._settings.node,
-            "configuration_version": self._version,
-            "stopping": self._stopping_since is not None,
-            "in_flight": self._callers.in_flight,
-            "caller_connections": len(self._callers.connections),
-            "order_holder": self._membership.holder,
-            "orders_given": self._orders.orders_given,
-            "peers": sorted(self._link.peers)[:200],
-            "upstreams": [
-                {
-                    "name": found.name,
-                    "service": found.entry.service,
-                    "state": found.entry.state,
-                    "running": found.running,
-                    "tokens_per_ms": round(found.rate, 2),
-                    "failure_share": round(found.suspicion.share, 2),
-                    "resting": found.suspicion.resting(now),
-                    "models": sorted(found.held.models),
-                    "holder_word": found.held.order[1],
-                }
-                for found in self._directory.all()[:200]
-            ],
-        }
-
     def _make_store(self) -> PlatformStore:
         pool = ConnectionPool(reactor=self._reactor, connect_timeout_s=STORE_CONNECT_TIMEOUT_S)
         address = split_address(self._settings.platform.address)
@@ -240,6 +232,14 @@
         )
         self._reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
 
+    def _serve_metrics(self, address: str) -> None:
+        if not self._metrics_port:
+            return
+        try:
+            self._listen(f"{address}:{self._metrics_port}", self._telemetry.page)
+        except CannotListenError as error:
+            log_event("metrics_unavailable", port=self._metrics_port, reason=str(error))
+
     def _take_configuration(self, item: StoredItem) -> None:
         if item.value is None:
             return
@@ -251,6 +251,7 @@
         if configuration.version <= self._version:
             return
         self._version = configuration.version
+        self._state.note_configuration(configuration.version)
         self._callers.set_configuration(configuration)
         self._orders.set_configuration(configuration)
         log_event("configuration", version=configuration.version, routes=len(configuration.routes))
@@ -281,6 +282,7 @@
     def _keep_house(self) -> None:
         self._pool.close_expired()
         self._order_pool.close_expired()
+        self._telemetry.flush()
         if self._settings_state() != self._settings_seen:
             self.reload()
 
@@ -317,8 +319,11 @@
         return self._reactor.seconds()  # type: ignore[no-any-return]
 
 
-def run_node(path: Path) -> int:
-    """Run the process until it is told to stop; returns its exit status."""
+def run_node(path: Path, metrics_port: int = 0) -> int:
+    """Run the process until it is told to stop; returns its exit status.
+
+    Metrics are served on ``metrics_port`` of the VM's address, unless it is 0.
+    """
     from twisted.internet import reactor as installed_reactor
 
     reactor: Any = installed_reactor
@@ -330,7 +335,7 @@
         flush_log()
         return 2
     set_log_vm(settings.node)
-    node = Node(reactor=reactor, settings=settings, settings_path=path)
+    node = Node(reactor=reactor, settings=settings, settings_path=path, metrics_port=metrics_port)
     reactor.callWhenRunning(node.start)
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(node.stop))
     signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(node.stop))
--- a/src/cactusshunt/node_log.py
+++ b/src/cactusshunt/node_log.py
@@ -6,12 +6,19 @@
 import sys
 import time
 
+from typing import TYPE_CHECKING
 from typing import Any
 
 import msgspec
 
+from cactusshunt.schema.generated.events import EVENT_LEVELS
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 LINES_PER_KIND = 40  # in one window; the rest is counted
 WINDOW_S = 1.0
+UNWRITTEN_LEVEL = "DEBUG"  # counted in the metrics only
 BUFFER_BYTES = 262_144  # lines that a slow reader has not taken; further ones are counted
 
 
@@ -24,8 +31,11 @@
         self._size = 0
         self._counts: dict[str, int] = {}
         self._window_ends = 0.0
+        self._started = time.monotonic()
         self._left_out: dict[str, int] = {}
         self._prepared = False
+        self.observers: list[Callable[[str, dict[str, Any]], None]] = []
+        self.left_out_total = 0
 
     def set_vm(self, vm: str) -> None:
         """Name the VM that the lines come from, and stop blocking on a slow reader."""
@@ -35,7 +45,12 @@
             self._prepared = True
 
     def write(self, kind: str, fields: dict[str, Any]) -> None:
-        """Add a line, or count it as left out."""
+        """Add a line, or count it as left out; observers see every event."""
+        for observe in self.observers:
+            observe(kind, fields)
+        level = EVENT_LEVELS[kind]
+        if level == UNWRITTEN_LEVEL:
+            return
         now = time.monotonic()
         if now >= self._window_ends:
             self._window_ends = now + WINDOW_S
@@ -44,8 +59,16 @@
         self._counts[kind] = count
         if count > LINES_PER_KIND or self._size > BUFFER_BYTES:
             self._left_out[kind] = self._left_out.get(kind, 0) + 1
+            self.left_out_total += 1
             return
-        line: dict[str, Any] = {"at": round(now, 3), "vm": self._vm, "event": kind, **fields}
+        line: dict[str, Any] = {
+            "at": round(time.time(), 3),
+            "up": round(now - self._started, 3),
+            "vm": self._vm,
+            "event": kind,
+            "level": level,
+        }
+        line |= fields
         left_out = self._left_out.pop(kind, 0)
         if left_out:
             line["left_out_before"] = left_out
@@ -68,10 +91,11 @@
 
 
 _log = EventLog()
+event_log = _log
 set_log_vm = _log.set_vm
 flush_log = _log.flush
 
 
-def log_event(kind: str, **fields: Any) -> None:
+def log_event(event: str, /, **fields: Any) -> None:
     """Write one event of the process's log."""
-    _log.write(kind, fields)
+    _log.write(event, fields)
--- /dev/null
+++ b/src/cactusshunt/node_state.py
@@ -0,0 +1,125 @@
+"""State of a node, as a dump for operators and as gauges for the metrics."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cactusshunt.node_log import event_log
+from cactusshunt.telemetry.gauges import Reading
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from cactusshunt.membership.membership_task import MembershipTask
+    from cactusshunt.membership.peer_link import PeerLink
+    from cactusshunt.placement.order_task import OrderTask
+    from cactusshunt.requests.caller_requests import CallerRequests
+    from cactusshunt.requests.retry_allowance import RetryAllowance
+    from cactusshunt.requests.upstream_picker import UpstreamPicker
+    from cactusshunt.routing.directory import Directory
+
+MOST_LISTED = 200  # entries of a list in a dump, so that it stays short in a large fleet
+
+
+class NodeState:
+    """Reads the tasks of a node; it changes none of them."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        clock: Callable[[], float],
+        directory: Directory,
+        membership: MembershipTask,
+        orders: OrderTask,
+        callers: CallerRequests,
+        picker: UpstreamPicker,
+        allowance: RetryAllowance,
+        link: PeerLink,
+    ) -> None:
+        self._vm = vm
+        self._clock = clock
+        self._directory = directory
+        self._membership = membership
+        self._orders = orders
+        self._callers = callers
+        self._picker = picker
+        self._allowance = allowance
+        self._link = link
+        self._version = 0
+        self._version_at = clock()
+        self.stopping = False
+
+    def note_configuration(self, version: int) -> None:
+        """Note the version in force from now on."""
+        self._version = version
+        self._version_at = self._clock()
+
+    def describe(self) -> dict[str, Any]:
+        """Return the state of the process, bounded in size."""
+        now = self._clock()
+        return {
+            "vm": self._vm,
+            "configuration_version": self._version,
+            "stopping": self.stopping,
+            "in_flight": self._callers.in_flight,
+            "caller_connections": len(self._callers.connections),
+            "queued": self._picker.queued,
+            "order_holder": self._membership.holder,
+            "orders_given": self._orders.orders_given,
+            "store_silent_s": round(self._membership.store_silent_s(now), 3),
+            "peers": sorted(self._link.peers)[:MOST_LISTED],
+            "upstreams": [
+                {
+                    "name": found.name,
+                    "service": found.entry.service,
+                    "state": found.entry.state,
+                    "running": found.running,
+                    "tokens_per_ms": round(found.rate, 2),
+                    "failure_share": round(found.suspicion.share, 2),
+                    "resting": found.suspicion.resting(now),
+                    "models": sorted(found.held.models),
+                    "holder_word": found.held.order[1],
+                }
+                for found in self._directory.all()[:MOST_LISTED]
+            ],
+        }
+
+    def read_gauges(self) -> Iterable[Reading]:
+        """Return the gauges of the metrics address; docs/metrics.md explains each."""
+        now = self._clock()
+        upstreams = self._directory.all()
+        states = Counter(found.entry.state for found in upstreams)
+        states["resting"] = sum(found.suspicion.resting(now) for found in upstreams)
+        single = {
+            "ready": (
+                "Whether new callers should come here.",
+                self._version > 0 and not self.stopping,
+            ),
+            "in_flight": ("Requests that are open.", self._callers.in_flight),
+            "queued": ("Requests that wait for a model or adapter.", self._picker.queued),
+            "caller_connections": ("Open connections of callers.", len(self._callers.connections)),
+            "configuration_version": ("Version in force.", self._version),
+            "configuration_age_seconds": ("Since it came in force.", now - self._version_at),
+            "store_silent_seconds": (
+                "Since the store last answered.",
+                self._membership.store_silent_s(now),
+            ),
+            "peers": ("Other VMs that are registered.", len(self._link.peers)),
+            "order_right": ("Whether this VM may give orders.", self._membership.may_order(now)),
+            "log_lines_left_out": ("Since the start.", event_log.left_out_total),
+        }
+        for name, (text, value) in single.items():
+            yield Reading(name=name, text=text, values={"": float(value)})
+        yield Reading(
+            name="upstreams", text="Upstreams by state.", label="state", values=dict(states)
+        )
+        yield Reading(
+            name="retries_left",
+            text="Repeats left in the window.",
+            label="service",
+            values={name: self._allowance.left(name, now) for name in self._allowance.services()},
+        )
--- a/src/cactusshunt/platform/boot.py
+++ b/src/cactusshunt/platform/boot.py
@@ -21,14 +21,6 @@
     ready: str
 
 
-class Limits(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
-    """What the VM grants one process: MB of memory, descriptors, Mbit/s of its link."""
-
-    memory_mb: float = 300
-    max_fds: int = 4100
-    link_mbps: float = 1000.0
-
-
 class Bounds(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """Time bounds and ratios that the deployment promises to keep."""
 
@@ -51,7 +43,10 @@
 
 
 class BootSettings(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
-    """Settings of one process; fields that are not known are ignored."""
+    """Settings of one process; fields that are not known are ignored.
+
+    ``statsd`` is ``HOST:PORT``, empty for no statsd.
+    """
 
     node: str
     ip: str
@@ -59,9 +54,8 @@
     port_range: tuple[int, int]
     listen: Listen
     platform: Platform
-    limits: Limits = Limits()
     bounds: Bounds = Bounds()
-    heartbeat_ms: int = 1200
+    statsd: str = ""
 
 
 def find_settings_file() -> Path:
--- a/src/cactusshunt/platform/store.py
+++ b/src/cactusshunt/platform/store.py
@@ -22,6 +22,7 @@
 from cactusshunt.exceptions import UpstreamError
 from cactusshunt.exceptions import UpstreamNotReachedError
 from cactusshunt.http1.collected_answer import call
+from cactusshunt.node_log import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -110,7 +111,6 @@
         self._reactor = reactor
         self._address = address
         self._pool = pool
-        self.calls = 0
 
     async def read_prefix(self, prefix: str, *, deadline: float) -> StoredRange:
         """Read all items below a prefix; the revision is that of the first page."""
@@ -185,7 +185,7 @@
     async def _call(
         self, method: bytes, target: str, body: bytes, deadline: float
     ) -> CollectedAnswer:
-        self.calls += 1
+        result = "unknown"
         try:
             answer = await call(
                 reactor=self._reactor,
@@ -197,11 +197,15 @@
                 body=body,
                 deadline=deadline,
             )
+            result = "refused" if answer.status in (429, 503) else "ok"
         except UpstreamNotReachedError as error:
+            result = "unreached"
             raise StoreUnavailableError(reason=error.reason, remedy="Tried again.") from error
         except UpstreamError as error:
             raise StoreOutcomeUnknownError(reason=error.reason, remedy="Read back.") from error
-        if answer.status in (429, 503):
+        finally:
+            log_event("store_call", call=_name_call(target), result=result)
+        if result == "refused":
             raise StoreUnavailableError(
                 reason=f"The store refused the call ({answer.status}).", remedy="Tried again later."
             )
@@ -216,6 +220,13 @@
             raise StoreOutcomeUnknownError(reason=f"{error}.", remedy="Read back.") from error
 
 
+def _name_call(target: str) -> str:
+    path = target.partition("?")[0]
+    if "keep" in path or "lease" in path:
+        return "lease"
+    return {"/v1/kv-watch": "watch", "/v1/kv-txn": "write"}.get(path, "read")
+
+
 def _check_lease(answer: CollectedAnswer) -> None:
     if answer.status == 404:
         raise LeaseEndedError(reason="The lease has ended.", remedy="A new one is taken.")
--- a/src/cactusshunt/requests/caller_requests.py
+++ b/src/cactusshunt/requests/caller_requests.py
@@ -158,5 +158,11 @@
     def _refuse(
         self, connection: CallerConnection, request_id: bytes, reason: str, retry_after_s: float
     ) -> None:
-        log_event("request_failed", request=request_id.decode("latin-1"), reason=reason, ran=False)
+        log_event(
+            "request_failed",
+            request=request_id.decode("latin-1"),
+            reason=reason,
+            ran=False,
+            retry_after_s=retry_after_s,
+        )
         connection.answer(*final_answers.describe_refusal(request_id, reason, retry_after_s))
--- a/src/cactusshunt/requests/job.py
+++ b/src/cactusshunt/requests/job.py
@@ -42,6 +42,8 @@
     first_data_at: float = 0.0
     on_timeout: Callable[[], None] | None = None
     retry_after_s: float = 0.3
+    last_sent_at: float | None = None
+    first_byte_at: float | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -55,6 +57,13 @@
         """Tell whether the upstream's work is ended when nobody waits for it."""
         return self.route.streams or self.route.repeatable
 
+    @property
+    def kind(self) -> str:
+        """Return what may be repeated of it, for logs and metrics."""
+        if self.route.streams:
+            return "streaming"
+        return "idempotent" if self.route.repeatable else "non_idempotent"
+
     @property
     def item(self) -> str:
         """Return ``model`` or ``model/adapter``, empty for a plain request."""
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -18,6 +18,10 @@
 from cactusshunt.requests.outcome import decide_next
 from cactusshunt.requests.outcome import may_have_run
 from cactusshunt.requests.outcome import was_sent
+from cactusshunt.requests.request_log import count_sends
+from cactusshunt.requests.request_log import log_answer
+from cactusshunt.requests.request_log import log_attempt
+from cactusshunt.requests.request_log import log_failure
 from cactusshunt.routing.suspicion import note_failure
 from cactusshunt.routing.suspicion import note_success
 from cactusshunt.routing.upstream import Attempt
@@ -103,7 +107,7 @@
         return not self._allowance.spend(job.service, self._now())
 
     def _may_go_on(self, job: Job, outcome: Outcome) -> bool:
-        sent = sum(1 for found in job.outcomes if was_sent(found))
+        sent = count_sends(job)
         ran = sum(1 for found in job.outcomes if may_have_run(found))
         if sent >= MOST_SENDS or ran >= job.route.attempts:
             return False
@@ -130,6 +134,7 @@
         self, job: Job, picked: Picked, upstream: Upstream, connection: UpstreamConnection
     ) -> Outcome:
         now = self._now()
+        job.last_sent_at = now
         attempt = Attempt(tokens=picked.own_tokens, priority=job.route.priority, sent_at=now)
         job.sink.reset()
         job.first_data_at = 0.0
@@ -214,23 +219,7 @@
             self._note_trouble(upstream, unreached=False, own_error=outcome is Outcome.FAILED)
         if outcome in (Outcome.ABSENT, Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.FAILED):
             job.excluded.add(upstream.name)
-        log_event(
-            "attempt",
-            request=job.request_id.decode("latin-1"),
-            upstream=upstream.name,
-            availability_zone=upstream.entry.zone,
-            item=job.item,
-            outcome=outcome.name,
-            status=job.sink.status,
-            expected_ms=int(picked.expected_ms),
-            took_ms=int((now - sent_at) * 1000),
-            first_ms=int((job.first_data_at - sent_at) * 1000) if job.first_data_at else None,
-            pending=int(picked.work.pending_tokens) if picked.work else None,
-            own=int(picked.own_tokens),
-            rate=round(upstream.rate, 1),
-            priority=job.route.priority,
-            waited_ms=int((sent_at - job.request.arrived_at) * 1000),
-        )
+        log_attempt(job, upstream, outcome, picked, sent_at, now)
 
     def _note_trouble(
         self, upstream: Upstream, *, unreached: bool, own_error: bool = False
@@ -255,6 +244,8 @@
     ) -> None:
         upstream.note_first_token(attempt)
         job.first_data_at = self._now()
+        if job.first_byte_at is None:
+            job.first_byte_at = job.first_data_at
         if job.generation is not None and picked.work is not None and job.sink.succeeded:
             took_ms = (self._now() - attempt.sent_at) * 1000.0
             upstream.rate = observe_rate(upstream.rate, picked.work, took_ms)
@@ -264,6 +255,7 @@
             return
         job.done = True
         sink = job.sink
+        log_answer(job, self._now())
         if sink.begun or (sink.succeeded and job.route.streams):
             sink.finish_stream()
             return
@@ -281,15 +273,7 @@
         if job.connection.gone:
             return
         ran = any(may_have_run(outcome) for outcome in job.outcomes) or job.running
-        log_event(
-            "request_failed",
-            request=job.request_id.decode("latin-1"),
-            route=job.route.name,
-            item=job.item,
-            reason=reason,
-            ran=ran,
-            after_ms=int((self._now() - job.request.arrived_at) * 1000),
-        )
+        log_failure(job, reason, ran=ran, now=self._now())
         if job.sink.begun:
             job.connection.break_off()
             return
--- /dev/null
+++ b/src/cactusshunt/requests/request_log.py
@@ -0,0 +1,84 @@
+"""Log lines about one request: its sends, and how it ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cactusshunt.node_log import log_event
+from cactusshunt.requests.outcome import was_sent
+
+if TYPE_CHECKING:
+    from cactusshunt.requests.job import Job
+    from cactusshunt.requests.outcome import Outcome
+    from cactusshunt.requests.upstream_picker import Picked
+    from cactusshunt.routing.upstream import Upstream
+
+
+def count_sends(job: Job) -> int:
+    """Return how many attempts reached an upstream."""
+    return sum(1 for outcome in job.outcomes if was_sent(outcome))
+
+
+def log_attempt(
+    job: Job, upstream: Upstream, outcome: Outcome, picked: Picked, sent_at: float, now: float
+) -> None:
+    """Log one send with what its choice expected, and its outcome."""
+    log_event(
+        "attempt",
+        request=job.request_id.decode("latin-1"),
+        route=job.route.name,
+        kind=job.kind,
+        send=1 + count_sends(job),
+        resumed=job.sink.begun and bool(job.outcomes),
+        upstream=upstream.name,
+        availability_zone=upstream.entry.zone,
+        item=job.item,
+        outcome=outcome.name,
+        status=job.sink.status,
+        expected_ms=int(picked.expected_ms),
+        took_ms=_ms_since(sent_at, now),
+        first_ms=_ms_since(sent_at, job.first_data_at or None),
+        pending=int(picked.work.pending_tokens) if picked.work else None,
+        own=int(picked.own_tokens),
+        rate=round(upstream.rate, 1),
+        priority=job.route.priority,
+        waited_ms=_ms_since(job.request.arrived_at, sent_at),
+    )
+
+
+def log_answer(job: Job, now: float) -> None:
+    """Log that an upstream's answer is passed on whole."""
+    arrived = job.request.arrived_at
+    log_event(
+        "request_answered",
+        request=job.request_id.decode("latin-1"),
+        route=job.route.name,
+        kind=job.kind,
+        item=job.item,
+        status=job.sink.status,
+        sends=count_sends(job),
+        first_after_ms=_ms_since(arrived, job.first_byte_at),
+        queued_ms=_ms_since(arrived, job.last_sent_at),
+        after_ms=_ms_since(arrived, now),
+    )
+
+
+def log_failure(job: Job, reason: str, *, ran: bool, now: float) -> None:
+    """Log a final answer of the system's own."""
+    log_event(
+        "request_failed",
+        request=job.request_id.decode("latin-1"),
+        route=job.route.name,
+        kind=job.kind,
+        item=job.item,
+        reason=reason,
+        ran=ran,
+        sends=count_sends(job),
+        retry_after_s=None if ran else round(job.retry_after_s, 2),
+        broken_off=job.sink.begun,
+        after_ms=_ms_since(job.request.arrived_at, now),
+    )
+
+
+def _ms_since(start: float, end: float | None) -> int | None:
+    return None if end is None else int((end - start) * 1000)
--- a/src/cactusshunt/requests/retry_allowance.py
+++ b/src/cactusshunt/requests/retry_allowance.py
@@ -34,14 +34,22 @@
 
     def spend(self, service: str, now: float) -> bool:
         """Take one repeat; ``False`` if none is left in the window."""
+        if self.left(service, now) < 1.0:
+            return False
+        self._repeats[service].append(now)
+        return True
+
+    def left(self, service: str, now: float) -> float:
+        """Return the repeats that are left in the window."""
         requests = self._count(self._requests[service], now)
         repeats = self._count(self._repeats[service], now)
         grown = min(1.0, (now - self._started_at) / self._window_s)
         allowed = SAFE_PART * (self._ratio * requests + grown * self._spare / self._vms)
-        if repeats + 1 > allowed:
-            return False
-        self._repeats[service].append(now)
-        return True
+        return allowed - repeats
+
+    def services(self) -> list[str]:
+        """Return the services that requests were counted for."""
+        return list(self._requests)
 
     def _count(self, times: deque[float], now: float) -> int:
         while times and times[0] <= now - self._window_s:
--- a/src/cactusshunt/requests/upstream_picker.py
+++ b/src/cactusshunt/requests/upstream_picker.py
@@ -10,6 +10,7 @@
 
 from twisted.internet.defer import Deferred
 
+from cactusshunt.node_log import log_event
 from cactusshunt.requests.admission import Refusal
 from cactusshunt.requests.admission import judge_expected_wait
 from cactusshunt.requests.admission import judge_placement_wait
@@ -62,6 +63,11 @@
         self._random = random.Random()
         self._waiting: set[Deferred[None]] = set()
 
+    @property
+    def queued(self) -> int:
+        """Return how many requests wait for what they ask for."""
+        return len(self._waiting)
+
     def wake(self) -> None:
         """Let waiting requests look again."""
         waiting, self._waiting = self._waiting, set()
@@ -92,6 +98,15 @@
         assert job.generation is not None
         began = self._now()
         left_ms = job.patience_ms(began)
+        expected_at = self._expected_at(job)
+        log_event(
+            "request_queued",
+            request=job.request_id.decode("latin-1"),
+            route=job.route.name,
+            item=job.item,
+            expected_in_ms=int((expected_at - began) * 1000) if expected_at else None,
+            left_ms=int(left_ms),
+        )
         while not job.done and not job.connection.gone:
             refusal = judge_placement_wait(
                 now=self._now(),
--- a/tests/platform/node.feature
+++ b/tests/platform/node.feature
@@ -72,3 +72,11 @@
     Given the node deployment
     When a caller leaves in the middle of its stream
     Then its engine's work ends within 0.5 seconds
+
+  Scenario: Metrics tell what the log tells, and the state of the process
+    Given the node deployment
+    When 12 callers stream from model "captions" through both nodes
+    And a plain request is answered by the plain service
+    Then the metrics of both nodes count 12 streams and 1 plain request as answered
+    And they tell times to the first byte, calls to the store, upstreams, peers and memory
+    And a second process on the same port serves callers without metrics
--- a/tests/steps/node_steps.py
+++ b/tests/steps/node_steps.py
@@ -63,6 +63,7 @@
         assert data.endswith(b"token 8\n\n")
 
 
+@when("a plain request is answered by the plain service")
 @then("a plain request is answered by the plain service")
 def check_plain(context: Any) -> None:
     identity, status, _, data = ask(context, "n1", "/once/x")
