--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -63,8 +63,13 @@
             self.start_node(name)
         wait_until(lambda: all(self._knows_all(name) for name in self.fronts))
 
-    def start_node(self, name: str, front: int = 0, metrics: int = 0) -> None:
-        """Start one node, on other ports than its own if they are given."""
+    def start_node(
+        self, name: str, front: int = 0, metrics: int = 0, *, log_is_read: bool = True
+    ) -> None:
+        """Start one node, on other ports than its own if they are given.
+
+        A node whose log is not read writes to a pipe that stays full.
+        """
         front = front or self.fronts[name]
         path = Path(self._folder.name) / f"{name}.toml"
         text = TEMPLATE.format(
@@ -79,8 +84,9 @@
         environment = {**os.environ, "CACTUSSHUNT_BOOT": str(path)}
         command = [sys.executable, str(ROOT / "deploy" / "node.py"), str(metrics or front + 3)]
         with (Path(self._folder.name) / f"{name}.log").open("ab") as log:
+            output = log if log_is_read else subprocess.PIPE
             started = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdout=log, stderr=subprocess.STDOUT
+                command, cwd=ROOT, env=environment, stdout=output, stderr=log
             )
         self._started.append(started)
         self._processes[name] = started
--- a/tests/platform/node.feature
+++ b/tests/platform/node.feature
@@ -80,3 +80,9 @@
     Then the metrics of both nodes count 12 streams and 1 plain request as answered
     And they tell times to the first byte, calls to the store, upstreams, peers and memory
     And a second process on the same port serves callers without metrics
+
+  Scenario: A log that nobody reads slows no request
+    Given the node deployment
+    When a node runs whose log is a pipe that nobody reads
+    Then 1500 plain requests through it are answered
+    And its metrics count lines left out
--- a/tests/steps/metrics_steps.py
+++ b/tests/steps/metrics_steps.py
@@ -4,10 +4,13 @@
 
 import re
 
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 from behave import then
+from behave import when
 
+from local.platform_deployment import call
 from local.platform_deployment import wait_until
 
 NAMES = (
@@ -51,3 +54,29 @@
     nodes.fronts["n1"] += 30
     wait_until(lambda: nodes.is_ready("n1"))
     wait_until(lambda: "metrics_unavailable" in nodes.read_log("n1"))
+
+
+@when("a node runs whose log is a pipe that nobody reads")
+def start_unread(context: Any) -> None:
+    context.front = context.nodes.fronts["n1"] + 30
+    context.nodes.start_node("n1", front=context.front, log_is_read=False)
+    context.nodes.fronts["n1"] = context.front
+    wait_until(lambda: context.nodes.is_ready("n1"))
+
+
+@then("{count:d} plain requests through it are answered")
+def check_answers(context: Any, count: int) -> None:
+    def ask(number: int) -> int:
+        headers = {"Host": "h", "X-Request-Id": f"{number:016x}", "X-Deadline-Ms": "15000"}
+        return call(context.front, "GET", "/again/x", None, headers)[0]
+
+    with ThreadPoolExecutor(4) as pool:
+        statuses = list(pool.map(ask, range(count)))
+    assert statuses.count(200) == count, {status: statuses.count(status) for status in statuses}
+
+
+@then("its metrics count lines left out")
+def check_left_out(context: Any) -> None:
+    found = re.search(r"log_lines_left_out ([\d.]+)", context.nodes.metrics("n1"))
+    assert found is not None
+    assert float(found[1]) > 0
