Announce loads that are late, and free what an unanswered order kept

And a place made on an engine that leaves orders unanswered stayed kept for its model for up to 6 s (zide13301a, 5.3 to 8.0 s). Ruled out: the callers' patience (2.1 s and 3.9 s of it were left).

--- a/src/cactusshunt/placement/engine_ledger.py
+++ b/src/cactusshunt/placement/engine_ledger.py
@@ -19,6 +19,7 @@
 UNLOAD_S = 0.1  # usual time of an unload that waits for no request
 ASK_AGAIN_S = 0.05  # between two tries of an order while the one before is under way
 ASK_FOR_S = 0.6  # after which an order under way is followed by reports instead
+SOON_S = 0.05  # told of what is late; its end is asked for that often
 LATE_S = 1.0  # by which a load may be late before it is no longer expected
 RESERVATION_S = 6.0  # an unload waits for the runs of its model, streams of seconds
 ADAPTER_READY_S = 0.02  # twice the usual time of an adapter's load
@@ -58,6 +59,7 @@
     accepted_at: float = -1e9
     compared: set[str] | None = None
     planned: dict[str, float] = field(default_factory=dict)
+    unanswered_at: float = -1e9
 
     def can_take_order(self, now: float) -> bool:
         """Tell whether the state is known and no order is open."""
@@ -159,6 +161,30 @@
             self.changed = True
         self.planned = planned
 
+    def list_coming(self, now: float) -> dict[str, float]:
+        """Return the seconds until items should serve, by item.
+
+        A load that is late is still on its way until its engine says otherwise.
+        """
+        found = {
+            item: at - now
+            for item, at in (self.planned | self.coming).items()
+            if at > now or ("/" not in item and at > now - LATE_S)
+        }
+        return {item: max(SOON_S, left) for item, left in found.items()}
+
+    def take_unanswered(self, now: float) -> None:
+        """Note that an order got no answer: it may be carried out, also later.
+
+        What was to be loaded here is planned anew, rather elsewhere.
+        """
+        self.report_due_at = now
+        self.unanswered_at = now
+        if self.reserved_for is not None:
+            self.coming.pop(self.reserved_for, None)
+            self.reserved_for = None
+            self.changed = True
+
     def take_conflict(self, now: float) -> None:
         """Note that an order was refused because another one may be under way."""
         since = self.busy_until
@@ -220,5 +246,6 @@
             running=running,
             speed=speed,
             free_in_s=self._free_in_s(now),
+            unanswered_s=now - self.unanswered_at,
             loaded_at=self.loaded_at,
         )
--- a/src/cactusshunt/placement/fleet_state.py
+++ b/src/cactusshunt/placement/fleet_state.py
@@ -34,7 +34,8 @@
     ``models`` maps held models to their adapters; ``coming`` are models under way;
     ``reserved_for`` names the model for which another one was dropped; ``loaded_at`` gives the
     steady-clock time of loads that this VM ordered; ``speed`` is 1 for a usual engine.
-    ``free_in_s`` is when a busy engine should take an order again, ``None`` if that is not known.
+    ``free_in_s`` is when a busy engine should take an order again, ``None`` if that is not known;
+    ``unanswered_s`` is the time since it last left an order unanswered.
     """
 
     name: str
@@ -51,6 +52,7 @@
     running: float = 0.0
     speed: float = 1.0
     free_in_s: float | None = None
+    unanswered_s: float = 1e9
     loaded_at: dict[str, float] = field(default_factory=dict)
 
     def source_of(self, model: str) -> WeightSource:
--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -44,6 +44,8 @@
 UNLOAD_S = 0.1  # usual time from the order to the answer that room was made
 RUN_S = 2.0  # a usual stream, for the end of which the unload of its model waits
 STORE_PENALTY_S = 1.0  # loads from the weight store are limited and serve all engines
+DOUBT_S = 3.0  # after an order without an answer, in which an engine may leave more unanswered
+DOUBT_PRICE_S = 1.0  # a few time-outs of orders
 SAME_ZONE_S = 0.6  # replicas are spread over zones, since bytes between zones are dear
 ADAPTER_HOST_S = 1.0  # per second of load and request a second for adapters held up meanwhile
 BLOCKED_PART = 0.3  # of requests for adapters that find theirs missing while an engine loads
@@ -229,6 +231,8 @@
         price = wait + duration * (1.0 + ADAPTER_HOST_S * adapter_rate) + load
         if (need.model, engine.availability_zone) in self._zones:
             price += SAME_ZONE_S
+        if engine.unanswered_s < DOUBT_S:
+            price += DOUBT_PRICE_S
         store_wait = 0.0
         if source is WeightSource.STORE:
             if not need.absent and need.gain < STORE_PRICE:
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -300,8 +300,11 @@
                 self.store_loads -= 1
             ledger.take_conflict(now)
             return
+        if outcome == UNKNOWN:
+            ledger.take_unanswered(now)
+            return
         ledger.report_due_at = now
-        if outcome not in (OrderAnswer.DONE.name, UNKNOWN):
+        if outcome != OrderAnswer.DONE.name:
             ledger.rests_until = now + REST_S
 
     async def _call(
@@ -342,9 +345,7 @@
                     word=self._words,
                     models=ledger.list_models(),
                     coming={
-                        item: int((at - now) * 1000)
-                        for item, at in (ledger.planned | ledger.coming).items()
-                        if at > now
+                        item: int(left * 1000) for item, left in ledger.list_coming(now).items()
                     },
                 )
             )
--- a/tests/placement/engine_ledger.feature
+++ b/tests/placement/engine_ledger.feature
@@ -11,3 +11,16 @@
     Then the load is ordered once more after 2 seconds
     When the engine answers that it holds the model
     Then the next order may be given at once
+
+  Scenario: A load that is late is still told as coming
+    Given an engine that accepted a load of 2 seconds
+    Then callers are told that it comes in 2000 ms
+    And 100 ms after its time they are told that it comes in 50 ms
+    When the engine answers that it holds the model
+    Then callers are told of no load
+
+  Scenario: An order without an answer frees what was kept for it
+    Given an engine that accepted an unload that makes room
+    When the load that follows gets no answer
+    Then callers are told of no load
+    And its report is read and the engine is in doubt
--- a/tests/steps/engine_ledger_steps.py
+++ b/tests/steps/engine_ledger_steps.py
@@ -69,3 +69,37 @@
 def check_free(context: Any) -> None:
     assert context.ledger.can_take_order(NOW + 2.0)
     assert "new" in context.ledger.models
+
+
+def told_ms(context: Any, now: float) -> list[int]:
+    return [round(left * 1000) for left in context.ledger.list_coming(now).values()]
+
+
+@then("callers are told that it comes in {ms:d} ms")
+def check_told(context: Any, ms: int) -> None:
+    assert told_ms(context, NOW) == [ms]
+
+
+@then("{late:d} ms after its time they are told that it comes in {ms:d} ms")
+def check_told_late(context: Any, late: int, ms: int) -> None:
+    assert told_ms(context, NOW + 2.0 + late / 1000.0) == [ms]
+
+
+@then("callers are told of no load")
+def check_told_none(context: Any) -> None:
+    assert told_ms(context, NOW + 2.0) == []
+
+
+@when("the load that follows gets no answer")
+def leave_unanswered(context: Any) -> None:
+    context.ledger.take_unanswered(NOW + 0.2)
+
+
+@then("its report is read and the engine is in doubt")
+def check_doubt(context: Any) -> None:
+    assert context.ledger.report_due_at == NOW + 0.2
+    state = context.ledger.describe(
+        availability_zone="x", capacity_mb=100.0, places=1, running=0.0, now=NOW + 0.5
+    )
+    assert state.unanswered_s < 1.0
+    assert state.reserved_for is None
