--- a/src/cactusshunt/configuration/platform_view.py
+++ b/src/cactusshunt/configuration/platform_view.py
@@ -17,6 +17,8 @@
 from cactusshunt.platform.store import StoredItem
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.internet.base import ReactorBase
 
     from cactusshunt.platform.store import PlatformStore
@@ -26,6 +28,14 @@
 LONGEST_PAUSE_S = 0.6
 WAIT_PART = 0.5  # of the time in which a configuration must be in force
 GATHER_PART = 0.4  # of the same time, in which changes gather that are then read in one call
+LARGE_GATHER_PART = 0.7  # the same where many VMs call: the store's rate and price are shared
+MANY_VMS = 32
+
+
+def choose_gather_part(vms: int) -> float:
+    """Return the share of the configuration's bound in which changes gather."""
+    many = min(1.0, vms / MANY_VMS)
+    return GATHER_PART + (LARGE_GATHER_PART - GATHER_PART) * many * many
 
 
 class ViewListener(Interface):
@@ -52,12 +62,14 @@
         store: PlatformStore,
         listener: ViewListener,
         config_bound_s: float,
+        count_vms: Callable[[], int],
     ) -> None:
         self._reactor = reactor
         self._store = store
         self._listener = listener
         self._wait_s = max(0.5, config_bound_s * WAIT_PART)
-        self._gather_s = config_bound_s * GATHER_PART
+        self._config_bound_s = config_bound_s
+        self._count_vms = count_vms
         self._revisions: dict[str, int] = {}
         self._revision = 0
         self._stopped = False
@@ -115,7 +127,8 @@
         self._revision = max(self._revision, found.revision)
         self._listener.store_answered()
         if found.items:
-            await self._pause(self._gather_s)
+            part = choose_gather_part(self._count_vms())
+            await self._pause(part * self._config_bound_s)
 
     def _take(self, item: StoredItem) -> None:
         if item.value is None:
--- a/src/cactusshunt/membership/announcer.py
+++ b/src/cactusshunt/membership/announcer.py
@@ -72,7 +72,12 @@
         status = Status(
             vm=self._vm, sent=self._sent, store_silent_ms=int(silent_s * 1000), work=work
         )
-        self._link.send(status, list(self._link.peers) if lonely else self._near())
+        if lonely:
+            self._link.send(status, list(self._link.peers))
+        elif len(self._link.peers) < MANY_VMS:
+            self._link.spread(status, self._zone)
+        else:
+            self._link.send(status, self._near())
 
     def send_demand(self) -> None:
         """Tell the order holder what callers ask for."""
@@ -108,8 +113,9 @@
         self._plan_now()
 
     def _near(self) -> list[str]:
-        """Return the VMs that are told of this VM's work."""
-        peers = self._link.peers
-        if len(peers) < MANY_VMS:
-            return list(peers)
-        return [vm for vm, peer in peers.items() if peer.record.availability_zone == self._zone]
+        """Return the VMs of the own zone."""
+        return [
+            vm
+            for vm, peer in self._link.peers.items()
+            if peer.record.availability_zone == self._zone
+        ]
--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -34,13 +34,15 @@
 class Status(msgspec.Struct, frozen=True, kw_only=True, tag="s", array_like=True):
     """What one VM tells the others of its work several times a second.
 
-    ``store_silent_ms`` is the time since the platform's store last answered it.
+    ``store_silent_ms`` is the time since the platform's store last answered it. A word with
+    ``hand_on`` is sent on to the reader's zone, without it.
     """
 
     vm: str
     sent: int
     store_silent_ms: int
     work: list[EngineWork]
+    hand_on: bool = False
 
 
 class DemandWord(msgspec.Struct, frozen=True, kw_only=True, tag="d", array_like=True):
@@ -65,11 +67,15 @@
 
 
 class PlacementNews(msgspec.Struct, frozen=True, kw_only=True, tag="p", array_like=True):
-    """What the holder of the right to order knows of engines; ``token`` orders holders."""
+    """What the holder of the right to order knows of engines; ``token`` orders holders.
+
+    A word with ``hand_on`` is sent on to the reader's zone, without it.
+    """
 
     vm: str
     token: int
     engines: list[Holdings]
+    hand_on: bool = False
 
 
 Message = Status | DemandWord | PlacementNews
--- a/src/cactusshunt/membership/peer_link.py
+++ b/src/cactusshunt/membership/peer_link.py
@@ -12,12 +12,15 @@
 
 from cactusshunt.membership.messages import decode_message
 from cactusshunt.membership.messages import encode_message
+from cactusshunt.membership.spread import choose_recipients
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
     from cactusshunt.membership.messages import Message
+    from cactusshunt.membership.messages import PlacementNews
+    from cactusshunt.membership.messages import Status
 
 LARGEST_DATAGRAM_BYTES = 60_000  # below the limit of UDP over IPv4
 
@@ -45,6 +48,7 @@
         self._vm = vm
         self._receive = receive
         self._peers: dict[str, Peer] = {}
+        self._turn = 0
 
     @property
     def peers(self) -> dict[str, Peer]:
@@ -75,6 +79,24 @@
             except OSError:
                 continue
 
+    def spread(self, message: Status | PlacementNews, own_zone: str) -> None:
+        """Send one message to all peers, with one copy into each other zone."""
+        self._turn += 1
+        zones = {vm: peer.record.availability_zone for vm, peer in self._peers.items()}
+        near, relays = choose_recipients(zones, own_zone, self._turn)
+        self.send(message, near)
+        if relays:
+            self.send(msgspec.structs.replace(message, hand_on=True), relays)
+
+    def hand_on(self, message: Status | PlacementNews, own_zone: str) -> None:
+        """Send a message that came from another zone to the peers of this one."""
+        near = [
+            vm
+            for vm, peer in self._peers.items()
+            if peer.record.availability_zone == own_zone and vm != message.vm
+        ]
+        self.send(msgspec.structs.replace(message, hand_on=False), near)
+
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Hand on a message of a known VM; others may use the port."""
         message = decode_message(datagram)
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -148,6 +148,7 @@
             store=self._store,
             listener=self,
             config_bound_s=bounds.config_ms / 1000.0,
+            count_vms=lambda: 1 + len(self._link.peers),
         )
         self._state = NodeState(
             vm=settings.node,
@@ -257,6 +258,8 @@
         log_event("configuration", version=configuration.version, routes=len(configuration.routes))
 
     def _receive(self, message: Message) -> None:
+        if not isinstance(message, DemandWord) and message.hand_on:
+            self._link.hand_on(message, self._settings.zone)
         if isinstance(message, Status):
             self._directory.take_status(message)
             self._membership.take_store_word(message.vm, message.store_silent_ms / 1000.0)
@@ -277,7 +280,7 @@
         self._orders.tick()
 
     def _publish(self, news: PlacementNews) -> None:
-        self._link.send(news, list(self._link.peers))
+        self._link.spread(news, self._settings.zone)
 
     def _keep_house(self) -> None:
         self._pool.close_expired()
