--- /dev/null
+++ b/src/cactusshunt/placement/fleet_view.py
@@ -0,0 +1,80 @@
+"""Puts together what a placement decision depends on."""
+
+from __future__ import annotations
+
+from statistics import median
+from typing import TYPE_CHECKING
+
+from cactusshunt.placement.fleet_state import FleetState
+from cactusshunt.placement.fleet_state import ModelFacts
+from cactusshunt.placement.fleet_state import WeightSource
+from cactusshunt.placement.replica_strain import relative_speed
+from cactusshunt.routing.work_ahead import USUAL_TOKENS_PER_MS
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from cactusshunt.placement.demand_board import DemandBoard
+    from cactusshunt.placement.engine_ledger import EngineLedger
+    from cactusshunt.platform.documents import EngineSpec
+    from cactusshunt.routing.upstream import Upstream
+
+
+def describe_fleet(
+    *,
+    now: float,
+    service: str,
+    spec: EngineSpec,
+    upstreams: Sequence[Upstream],
+    ledgers: Mapping[str, EngineLedger],
+    board: DemandBoard,
+    store_loads: int,
+) -> FleetState:
+    """Return the state of a service's ready engines, and the demand of all VMs."""
+    ready = [upstream for upstream in upstreams if upstream.ready]
+    usual = median(upstream.rate for upstream in ready) if ready else USUAL_TOKENS_PER_MS
+    engines = tuple(
+        ledgers[upstream.name].describe(
+            availability_zone=upstream.entry.zone,
+            capacity_mb=spec.weights_size_mb,
+            places=spec.max_adapters,
+            running=upstream.total_running(now),
+            speed=relative_speed(upstream.rate, usual),
+            now=now,
+        )
+        for upstream in ready
+    )
+    demand = board.read(service, now)
+    return FleetState(
+        now=now,
+        observed_s=board.observed_s(now),
+        engines=engines,
+        facts=_read_facts(spec),
+        demand={item: found for item, found in demand.items() if "/" not in item},
+        adapter_demand={
+            (item.partition("/")[0], item.partition("/")[2]): found
+            for item, found in demand.items()
+            if "/" in item
+        },
+        store_loads_allowed=store_loads,
+        store_loads_per_s=spec.loads_per_s,
+        tokens_per_ms=usual,
+    )
+
+
+def _read_facts(spec: EngineSpec) -> dict[str, ModelFacts]:
+    return {
+        model.name: ModelFacts(
+            name=model.name,
+            size_mb=model.weights_size_mb,
+            adapter_mb=model.adapter_mb,
+            adapters=model.adapter_names,
+            load_s={
+                WeightSource.MEMORY: model.warm_s or model.load_s,
+                WeightSource.DISK: model.disk_s or model.load_s,
+                WeightSource.STORE: model.load_s,
+            },
+        )
+        for model in spec.models
+    }
--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -6,43 +6,27 @@
 
 from __future__ import annotations
 
-import math
-
-from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from cactusshunt.placement.fleet_state import Demand
 from cactusshunt.placement.fleet_state import ModelPlan
 from cactusshunt.placement.fleet_state import PlannedArrival
 from cactusshunt.placement.fleet_state import PlannedOrder
 from cactusshunt.placement.fleet_state import WeightSource
+from cactusshunt.placement.model_worth import NEWCOMER_S
+from cactusshunt.placement.model_worth import ModelWorth
 from cactusshunt.placement.replica_strain import ReplicaTally
-from cactusshunt.placement.replica_strain import strain
 
 if TYPE_CHECKING:
     from cactusshunt.placement.fleet_state import EngineState
     from cactusshunt.placement.fleet_state import FleetState
 
-TOKENS_PER_REQUEST = 2_000  # a usual prompt, to turn tokens into requests
-UNASKED_PER_S = 0.6  # requests expected of a model that lies here and was not asked for yet
-UNASKED_S = 60.0  # time constant in which its place loses that worth
-NEWCOMER_PER_S = 1.0  # more of the same while demand has been watched for moments only
-NEWCOMER_S = 4.0
-SILENT_PER_S = 0.02  # requests expected of a model whose callers seem to be gone
-KEEP_S = 1.5  # a last replica asked for within this time is worth more than an idle one
-KEEP_VALUE = 0.6
 MOVE_PRICE = 0.2  # requests that a move must serve better to be worth its load
 SPARE_PART = 0.22  # of the engines that should have a place free for a model that comes up
 SPARE_LOSS_PER_S = 0.08  # requests that a spare place may cost
 GROW_PRICE = 0.6  # the same for a further replica
-QUEUED_S = 0.3  # usual time of a request in an engine's queue
-FRESH_S = 3.0  # after a load, in which its model is not dropped lightly
-FRESH_VALUE = 0.6
 STORE_PRICE = 1.2  # the same for a load from the weight store, if the model is held already
 MOST_NEEDS = 32  # looked at in one plan, the most harmful ones first; a plan takes milliseconds
-UNLOAD_S = 0.1  # usual time from the order to the answer that room was made
-RUN_S = 2.0  # a usual stream, for the end of which the unload of its model waits
 STORE_PENALTY_S = 1.0  # loads from the weight store are limited and serve all engines
 DOUBT_S = 3.0  # after an order without an answer, in which an engine may leave more unanswered
 DOUBT_PRICE_S = 1.0  # a few time-outs of orders
@@ -83,7 +67,7 @@
 class _Planner:
     """Collects orders and keeps count of what they change.
 
-    ``present`` counts replicas that serve, ``expected`` those and the ones under way.
+    ``expected`` counts the replicas that serve and the ones under way.
     """
 
     def __init__(self, state: FleetState) -> None:
@@ -97,19 +81,14 @@
             if engine.reserved_for is None
         }
         self._loads_left = state.store_loads_allowed
-        self.present = ReplicaTally()
+        self._worth = ModelWorth(state)
         self.expected = ReplicaTally()
         self._zones: set[tuple[str, str]] = set()
-        self._losses: dict[str, dict[str, float]] = {}
-        self._busyness: dict[str, tuple[float, float]] = {}
-        self._adapter_rates: Counter[str] = Counter()
-        for (model, _), demand in state.adapter_demand.items():
-            self._adapter_rates[model] += demand.usual_per_s  # type: ignore[assignment]
         for engine in state.engines:
             under_way = {*engine.coming}
             if engine.reserved_for is not None:
                 under_way.add(engine.reserved_for)
-            self.present.add(engine, *(engine.models.keys() - under_way))
+            self._worth.present.add(engine, *(engine.models.keys() - under_way))
             held = engine.models.keys() | under_way
             self.expected.add(engine, *held)
             self._zones.update((model, engine.availability_zone) for model in held)
@@ -119,10 +98,10 @@
         needs = []
         for model, demand in self._state.demand.items():
             held = self.expected.count[model]
-            if model not in self._state.facts or (not held and not self._is_asked(demand)):
+            if model not in self._state.facts or (not held and not self._worth.is_asked(demand)):
                 continue
             power = self.expected.power[model]
-            gain = self._harm(model, power) - self._harm(model, power + 1.0)
+            gain = self._worth.harm(model, power) - self._worth.harm(model, power + 1.0)
             if gain > MOVE_PRICE:
                 needs.append(_Need(model=model, gain=gain, absent=held == 0))
         return sorted(needs, key=lambda need: -need.gain)
@@ -130,7 +109,7 @@
     def fill_reserved(self) -> None:
         """Load the models for which room was made, those that serve most first."""
         waiting = [engine for engine in self._state.engines if engine.reserved_for is not None]
-        waiting.sort(key=lambda engine: -self._harm(str(engine.reserved_for), 0))
+        waiting.sort(key=lambda engine: -self._worth.harm(str(engine.reserved_for), 0))
         for engine in waiting:
             model = engine.reserved_for
             if engine.name not in self._engines:
@@ -159,7 +138,7 @@
         options = []
         for engine in self._engines.values():
             if engine.reserved_for is None and engine not in free and engine.models:
-                loss, victim = min((self._loss(m, engine.speed), m) for m in engine.models)
+                loss, victim = min((self._worth.loss(m, engine.speed), m) for m in engine.models)
                 options.append((loss, engine.name, victim))
         if options and min(options)[0] < SPARE_LOSS_PER_S:
             _, name, victim = min(options)
@@ -171,11 +150,7 @@
     def _drop(self, engine: EngineState, victim: str, follower: str | None, reason: str) -> None:
         del self._engines[engine.name]
         self.expected.remove(engine, victim)
-        self.present.remove(engine, victim)
-        for other in self._state.engines:
-            if victim in other.models:
-                self._losses.pop(other.name, None)
-                self._busyness.pop(other.name, None)
+        self._worth.drop(engine, victim)
         self.orders.append(
             PlannedOrder(
                 engine=engine.name,
@@ -226,7 +201,7 @@
             return None
         fact = self._state.facts[need.model]
         source = engine.source_of(need.model)
-        load, adapter_rate = self._find_busyness(engine)
+        load, adapter_rate = self._worth.find_busyness(engine)
         duration = fact.load_s[source]
         price = wait + duration * (1.0 + ADAPTER_HOST_S * adapter_rate) + load
         if (need.model, engine.availability_zone) in self._zones:
@@ -242,17 +217,17 @@
                 store_wait = (1.0 - self._loads_left) / max(0.01, self._state.store_loads_per_s)
         victim = None
         if self._free_mb(engine) - self._arriving_mb(engine) < fact.size_mb:
-            found = self._find_losses(engine)
+            found = self._worth.find_losses(engine)
             losses = {model: loss for model, loss in found.items() if model != need.model}
             if not losses:
                 return None
-            victim = min(losses, key=lambda m: VICTIM_S * losses[m] + self._unload_s(m))
+            victim = min(losses, key=lambda m: VICTIM_S * losses[m] + self._worth.unload_s(m))
             blocked = BLOCKED_PART * duration * adapter_rate
             if need.gain < losses[victim] + blocked + (MOVE_PRICE if need.absent else GROW_PRICE):
                 return None
             price += VICTIM_S * losses[victim]
-            duration += self._unload_s(victim)
-            price += self._unload_s(victim)
+            duration += self._worth.unload_s(victim)
+            price += self._worth.unload_s(victim)
         return _Offer(
             engine=engine,
             victim=victim,
@@ -269,11 +244,6 @@
             for model in engine.coming - engine.models.keys()
         )
 
-    def _unload_s(self, model: str) -> float:
-        """Return the time until a model is gone: its last requests are finished before."""
-        demand = self._state.demand.get(model, Demand())
-        return UNLOAD_S + max(0.0, RUN_S - (self._state.now - demand.last_asked_at))
-
     def _order(self, engine: EngineState, model: str, victim: str | None, reason: str) -> None:
         self.expected.add(engine, model)
         if victim is not None:
@@ -295,84 +265,3 @@
                 reason=reason,
             )
         )
-
-    def _is_asked(self, demand: Demand) -> bool:
-        return demand.waiting > 0 or self._state.now - demand.last_asked_at < KEEP_S
-
-    def _load(self, model: str) -> float:
-        demand = self._state.demand.get(model, Demand())
-        return demand.tokens_per_ms / self._state.tokens_per_ms
-
-    def _engine_load(self, engine: EngineState) -> float:
-        """Return the share of an engine's prefill time that its models take."""
-        return sum(self._load(model) / max(1, self.present.count[model]) for model in engine.models)
-
-    def _find_losses(self, engine: EngineState) -> dict[str, float]:
-        """Return what dropping each model of an engine costs; kept until a replica goes."""
-        found = self._losses.get(engine.name)
-        if found is None:
-            found = {
-                m: self._loss(m, engine.speed) + self._disturbance(engine, m) for m in engine.models
-            }
-            self._losses[engine.name] = found
-        return found
-
-    def _find_busyness(self, engine: EngineState) -> tuple[float, float]:
-        """Return an engine's load and its adapters' request rate; kept until a replica goes."""
-        found = self._busyness.get(engine.name)
-        if found is None:
-            found = (self._engine_load(engine), self._adapter_rate(engine))
-            self._busyness[engine.name] = found
-        return found
-
-    def _adapter_rate(self, engine: EngineState) -> float:
-        """Return the requests a second for adapters that an engine's models take part in.
-
-        An engine takes no order for an adapter while it loads a model.
-        """
-        return sum(
-            self._adapter_rates.get(model, 0.0) / max(1, self.present.count[model])
-            for model in engine.models
-        )
-
-    def _harm(self, model: str, replicas: float) -> float:
-        """Return the requests a second that come late or not at all with so many replicas."""
-        demand = self._state.demand.get(model, Demand())
-        rate = demand.tokens_per_ms * 1000.0 / TOKENS_PER_REQUEST
-        if replicas <= 0 and self._is_asked(demand):
-            rate += max(1, demand.waiting)
-        return rate * strain(self._load(model), replicas)
-
-    def _loss(self, model: str, speed: float) -> float:
-        """Return what dropping a replica of an engine of this speed costs, in requests a second."""
-        present = self.present.count[model]
-        power = self.present.power[model]
-        left = max(0.0, power - speed) if present > 1 else 0.0
-        loss = self._harm(model, left) - self._harm(model, power)
-        demand = self._state.demand.get(model, Demand())
-        if not demand.ever_asked:
-            return loss + self._unasked_value()
-        if present > 1:
-            return loss
-        age_s = max(0.0, self._state.now - demand.last_asked_at)
-        if age_s < KEEP_S:
-            return loss + KEEP_VALUE
-        still_asked = math.exp(-demand.usual_per_s * age_s)
-        return loss + SILENT_PER_S + demand.usual_per_s * still_asked
-
-    def _disturbance(self, engine: EngineState, model: str) -> float:
-        """Return what dropping a replica costs besides its place.
-
-        Requests in its queue are turned away, and one that was loaded a moment ago was needed.
-        """
-        demand = self._state.demand.get(model, Demand())
-        rate = demand.tokens_per_ms * 1000.0 / TOKENS_PER_REQUEST
-        queued = QUEUED_S * rate / max(1, self.present.count[model])
-        fresh = self._state.now - engine.loaded_at.get(model, -1e9) < FRESH_S
-        return queued + (FRESH_VALUE if fresh else 0.0)
-
-    def _unasked_value(self) -> float:
-        """Return what a replica that was placed before any demand was seen is worth."""
-        seen_s = self._state.observed_s
-        newcomer = NEWCOMER_PER_S * math.exp(-seen_s / NEWCOMER_S)
-        return UNASKED_PER_S * math.exp(-seen_s / UNASKED_S) + newcomer
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from statistics import median
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -14,14 +13,11 @@
 from cactusshunt.placement.adapter_plan import plan_adapters
 from cactusshunt.placement.demand_board import DemandBoard
 from cactusshunt.placement.engine_ledger import EngineLedger
-from cactusshunt.placement.fleet_state import FleetState
-from cactusshunt.placement.fleet_state import ModelFacts
 from cactusshunt.placement.fleet_state import WeightSource
+from cactusshunt.placement.fleet_view import describe_fleet
 from cactusshunt.placement.load_rate import LoadRate
 from cactusshunt.placement.model_plan import plan_models
-from cactusshunt.placement.replica_strain import relative_speed
 from cactusshunt.platform.engine_calls import OrderAnswer
-from cactusshunt.routing.work_ahead import USUAL_TOKENS_PER_MS
 from cactusshunt.tasks.periodic import start_coroutine
 
 if TYPE_CHECKING:
@@ -197,7 +193,15 @@
     ) -> None:
         rate = self._rates.setdefault(service.name, LoadRate(now=now))
         rate.set_rate(spec.loads_per_s)
-        state = self._describe(service, spec, upstreams, rate.allowed(now), now)
+        state = describe_fleet(
+            now=now,
+            service=service.name,
+            spec=spec,
+            upstreams=upstreams,
+            ledgers=self._ledgers,
+            board=self.board,
+            store_loads=rate.allowed(now),
+        )
         plan = plan_models(state)
         orders = plan.orders
         self._note_arrivals(plan.arrivals, upstreams, now)
@@ -225,44 +229,6 @@
         for name, found in planned.items():
             self._ledgers[name].take_planned(found)
 
-    def _describe(
-        self,
-        service: Service,
-        spec: EngineSpec,
-        upstreams: list[Upstream],
-        store_loads: int,
-        now: float,
-    ) -> FleetState:
-        ready = [upstream for upstream in upstreams if upstream.ready]
-        usual = median(upstream.rate for upstream in ready) if ready else USUAL_TOKENS_PER_MS
-        engines = tuple(
-            self._ledgers[upstream.name].describe(
-                availability_zone=upstream.entry.zone,
-                capacity_mb=spec.weights_size_mb,
-                places=spec.max_adapters,
-                running=upstream.total_running(now),
-                speed=relative_speed(upstream.rate, usual),
-                now=now,
-            )
-            for upstream in ready
-        )
-        demand = self.board.read(service.name, now)
-        return FleetState(
-            now=now,
-            observed_s=self.board.observed_s(now),
-            engines=engines,
-            facts=_read_facts(spec),
-            demand={item: found for item, found in demand.items() if "/" not in item},
-            adapter_demand={
-                (item.partition("/")[0], item.partition("/")[2]): found
-                for item, found in demand.items()
-                if "/" in item
-            },
-            store_loads_allowed=store_loads,
-            store_loads_per_s=spec.loads_per_s,
-            tokens_per_ms=usual,
-        )
-
     async def _give(
         self, upstream: Upstream, order: PlannedOrder, token: int, load_s: float
     ) -> None:
@@ -358,20 +324,3 @@
 
     def _now(self) -> float:
         return self._reactor.seconds()
-
-
-def _read_facts(spec: EngineSpec) -> dict[str, ModelFacts]:
-    return {
-        model.name: ModelFacts(
-            name=model.name,
-            size_mb=model.weights_size_mb,
-            adapter_mb=model.adapter_mb,
-            adapters=model.adapter_names,
-            load_s={
-                WeightSource.MEMORY: model.warm_s or model.load_s,
-                WeightSource.DISK: model.disk_s or model.load_s,
-                WeightSource.STORE: model.load_s,
-            },
-        )
-        for model in spec.models
-    }
