--- a/src/cactusshunt/membership/announcer.py
+++ b/src/cactusshunt/membership/announcer.py
@@ -60,7 +60,12 @@
         """Tell peers about this VM's work at upstreams, and all of them of a silent store."""
         self._sent += 1
         work = [
-            EngineWork(upstream=found.name, running=found.running, pending=found.own_pending())
+            EngineWork(
+                upstream=found.name,
+                running=found.running,
+                pending=found.own_pending(),
+                tokens_per_s=found.own_tokens_per_s(),
+            )
             for found in self._directory.all()
             if found.running
         ]
--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -9,12 +9,13 @@
     """One VM's unfinished work at one upstream.
 
     ``pending`` counts uncached prompt tokens that wait for their first token, by priority;
-    ``running`` counts requests.
+    ``running`` counts requests; ``tokens_per_s`` is the prefill rate that it saw, 0 if none.
     """
 
     upstream: str
     running: int
     pending: dict[int, int] = {}
+    tokens_per_s: int = 0
 
 
 class ItemDemand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -25,7 +25,6 @@
 from cactusshunt.routing.suspicion import note_failure
 from cactusshunt.routing.suspicion import note_success
 from cactusshunt.routing.upstream import Attempt
-from cactusshunt.routing.work_ahead import observe_rate
 
 if TYPE_CHECKING:
     from twisted.internet.base import ReactorBase
@@ -219,6 +218,8 @@
             self._note_trouble(upstream, unreached=False, own_error=outcome is Outcome.FAILED)
         if outcome in (Outcome.ABSENT, Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.FAILED):
             job.excluded.add(upstream.name)
+        if not job.first_data_at and picked.work is not None and may_have_run(outcome):
+            upstream.note_no_token_for(picked.work, (now - sent_at) * 1000.0)
         log_attempt(job, upstream, outcome, picked, sent_at, now)
 
     def _note_trouble(
@@ -248,7 +249,7 @@
             job.first_byte_at = job.first_data_at
         if job.generation is not None and picked.work is not None and job.sink.succeeded:
             took_ms = (self._now() - attempt.sent_at) * 1000.0
-            upstream.rate = observe_rate(upstream.rate, picked.work, took_ms)
+            upstream.note_first_token_after(picked.work, took_ms)
 
     def _pass_answer(self, job: Job) -> None:
         if job.done or job.connection.gone:
--- a/src/cactusshunt/routing/directory.py
+++ b/src/cactusshunt/routing/directory.py
@@ -114,10 +114,9 @@
             log_event("upstream_leaving", upstream=upstream.name, source="answer")
 
     def _set(self, name: str, entry: EngineEntry) -> None:
-        now = self._clock()
         found = self._upstreams.get(name)
         if found is None:
-            found = Upstream(name=name, entry=entry, now=now)
+            found = Upstream(name=name, entry=entry)
             self._upstreams[name] = found
             log_event("upstream_seen", upstream=name, service=entry.service, state=entry.state)
         elif found.entry.state != entry.state:
--- a/src/cactusshunt/routing/upstream.py
+++ b/src/cactusshunt/routing/upstream.py
@@ -11,11 +11,13 @@
 from cactusshunt.routing.prompt_cache import PromptCache
 from cactusshunt.routing.suspicion import Suspicion
 from cactusshunt.routing.work_ahead import USUAL_TOKENS_PER_MS
+from cactusshunt.routing.work_ahead import observe_rate
 
 if TYPE_CHECKING:
     from cactusshunt.http1.connection_pool import Address
     from cactusshunt.membership.messages import EngineWork
     from cactusshunt.platform.documents import EngineEntry
+    from cactusshunt.routing.work_ahead import WorkAhead
 
 PEER_WORD_S = 1.5  # after which a VM's word about its work counts no more
 REPORT_WORD_S = 0.5  # after which a load header counts no more
@@ -55,17 +57,16 @@
 class Upstream:
     """Mutable record; decisions take numbers from it and never change it."""
 
-    def __init__(self, *, name: str, entry: EngineEntry, now: float) -> None:
+    def __init__(self, *, name: str, entry: EngineEntry) -> None:
         self.name = name
         self.entry = entry
         self.address: Address = split_address(entry.address)
-        self.since = now
         self.removed_at: float | None = None
         self.held = HeldItems()
         self.missing: dict[str, int] = {}
         self.suspicion = Suspicion()
         self.cache = PromptCache()
-        self.rate = USUAL_TOKENS_PER_MS
+        self._own_rate: float | None = None
         self._waiting: set[Attempt] = set()
         self._running = 0
         self._peer_work: dict[str, tuple[float, EngineWork]] = {}
@@ -81,6 +82,27 @@
         """Return this VM's requests at the upstream."""
         return self._running
 
+    @property
+    def rate(self) -> float:
+        """Return the prefill rate in tokens a ms, as seen here and by peers that work with it."""
+        seen = [work.tokens_per_s / 1000.0 for _, work in self._peer_work.values()]
+        rates = [rate for rate in (self._own_rate, *seen) if rate]
+        return sum(rates) / len(rates) if rates else USUAL_TOKENS_PER_MS
+
+    def own_tokens_per_s(self) -> int:
+        """Return the prefill rate as this VM saw it, 0 if it saw none."""
+        return int(self._own_rate * 1000.0) if self._own_rate is not None else 0
+
+    def note_first_token_after(self, work: WorkAhead, took_ms: float) -> None:
+        """Learn the prefill rate from one request's time to its first token."""
+        known = self._own_rate if self._own_rate is not None else self.rate
+        self._own_rate = observe_rate(known, work, took_ms)
+
+    def note_no_token_for(self, work: WorkAhead, took_ms: float) -> None:
+        """Learn from a request that ended without a first token: the rate is lower than that."""
+        known = self._own_rate if self._own_rate is not None else self.rate
+        self._own_rate = min(known, observe_rate(known, work, took_ms))
+
     def holds(self, model: str, adapter: str, now: float) -> bool:
         """Tell whether the items are there, unless the upstream denied it since."""
         item = f"{model}/{adapter}" if adapter else model
@@ -149,3 +171,4 @@
         self.missing = {}
         self.cache.clear()
         self.suspicion = Suspicion()
+        self._own_rate = None
--- a/src/cactusshunt/routing/work_ahead.py
+++ b/src/cactusshunt/routing/work_ahead.py
@@ -10,7 +10,7 @@
 
 USUAL_TOKENS_PER_MS = 20.0  # prefill of a large model on one engine, until observed
 STEP_MS = 12.0  # one decoding step at middling load, until the first token comes out
-RATE_WEIGHT = 0.1  # of the newest observation
+RATE_WEIGHT = 0.2  # of the newest observation: five requests show an engine that turned slow
 SLOWEST_PART = 0.1  # of the usual rate that an observation may lower the estimate to
 FASTEST_PART = 5.0
 
--- /dev/null
+++ b/tests/steps/prefill_rate_steps.py
@@ -0,0 +1,54 @@
+"""Steps on the estimate of an engine's prefill rate."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from cactusshunt.membership.messages import EngineWork
+from cactusshunt.platform.documents import EngineEntry
+from cactusshunt.routing.upstream import Upstream
+from cactusshunt.routing.work_ahead import WorkAhead
+
+
+@given("an engine believed to read {rate:g} tokens a ms")
+def make_engine(context: Any, rate: float) -> None:
+    entry = EngineEntry(service="s", address="10.0.0.1:80", zone="z", state="ready")
+    context.upstream = Upstream(name="e", entry=entry)
+    assert context.upstream.rate == rate
+
+
+def work(tokens: int) -> WorkAhead:
+    return WorkAhead(pending_tokens=float(tokens), own_tokens=500.0, running=4.0)
+
+
+@when("{count:d} requests behind {tokens:d} tokens get their first token after {ms:d} ms")
+def see_late(context: Any, count: int, tokens: int, ms: int) -> None:
+    for _ in range(count):
+        context.upstream.note_first_token_after(work(tokens), float(ms))
+
+
+@when("{count:d} requests behind {tokens:d} tokens end without a token after {ms:d} ms")
+def see_none(context: Any, count: int, tokens: int, ms: int) -> None:
+    for _ in range(count):
+        context.upstream.note_no_token_for(work(tokens), float(ms))
+
+
+@when("{count:d} peers that work with it see {rate:g} tokens a ms")
+def hear_peers(context: Any, count: int, rate: float) -> None:
+    for number in range(count):
+        found = EngineWork(upstream="e", running=1, tokens_per_s=int(rate * 1000))
+        context.upstream.take_peer_work(f"vm{number}", found, 1.0)
+
+
+@then("it is believed to read less than {rate:g} tokens a ms")
+def check_less(context: Any, rate: float) -> None:
+    assert context.upstream.rate < rate, context.upstream.rate
+
+
+@then("it is believed to read {rate:g} tokens a ms")
+def check_same(context: Any, rate: float) -> None:
+    assert context.upstream.rate == rate, context.upstream.rate
