Remove what nothing uses, index upstreams by service, share one pause

The pool counted connections in use for nobody, the election told nobody, each choice walked all upstreams of all services. No behaviour changed (tests of http1, membership, routing). Ruled out: removing the two retry budgets' likeness (their bounds differ by program).

--- a/src/cactusshunt/configuration/platform_view.py
+++ b/src/cactusshunt/configuration/platform_view.py
@@ -6,15 +6,13 @@
 
 from traceback import format_exc
 from typing import TYPE_CHECKING
-from typing import Any
 from typing import Protocol as Interface
 
-from twisted.internet.defer import Deferred
-
 from cactusshunt.exceptions import HistoryLostError
 from cactusshunt.exceptions import StoreError
 from cactusshunt.node_log import log_event
 from cactusshunt.platform.store import StoredItem
+from cactusshunt.tasks.periodic import pause
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -100,7 +98,7 @@
                 failures += 1
                 if failures == 1:
                     log_event("store_lost", reason=error.reason)
-                await self._pause(min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** min(failures, 4)))
+                await self._rest(min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** min(failures, 4)))
 
     async def _read_all(self) -> None:
         now = self._reactor.seconds()
@@ -128,7 +126,7 @@
         self._listener.store_answered()
         if found.items:
             part = choose_gather_part(self._count_vms())
-            await self._pause(part * self._config_bound_s)
+            await self._rest(part * self._config_bound_s)
 
     def _take(self, item: StoredItem) -> None:
         if item.value is None:
@@ -152,8 +150,6 @@
         except Exception as error:
             log_event("change_failed", key=item.key, error=repr(error), trace=format_exc(limit=-4))
 
-    def _pause(self, seconds: float) -> Deferred[None]:
-        paused: Deferred[None] = Deferred()
-        reactor: Any = self._reactor
-        reactor.callLater(seconds * self._random.uniform(0.6, 1.0), paused.callback, None)
-        return paused
+    async def _rest(self, seconds: float) -> None:
+        """Pause for a part of the time, so that VMs don't call all at once."""
+        await pause(self._reactor, seconds * self._random.uniform(0.6, 1.0))
--- a/src/cactusshunt/http1/caller_connection.py
+++ b/src/cactusshunt/http1/caller_connection.py
@@ -83,7 +83,6 @@
         self._chunked = False
         self.on_gone: Callable[[], None] | None = None
         self.busy = False
-        self.last_answer_at = 0.0
 
     @property
     def gone(self) -> bool:
@@ -146,7 +145,6 @@
         self._send(h11.EndOfMessage())
         self.on_gone = None
         self.busy = False
-        self.last_answer_at = self._reactor.seconds()
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             self._close()
             return
--- a/src/cactusshunt/http1/connection_pool.py
+++ b/src/cactusshunt/http1/connection_pool.py
@@ -29,25 +29,17 @@
         self._reactor = reactor
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[Address, list[UpstreamConnection]] = defaultdict(list)
-        self._open: dict[Address, int] = defaultdict(int)
         self.opened = 0
 
-    def in_use(self, address: Address) -> int:
-        """Return how many connections to an address carry a request or are being opened."""
-        return self._open.get(address, 0)
-
     async def acquire(self, address: Address, *, fresh: bool = False) -> UpstreamConnection:
         """Return an idle or a new connection; raises ``UpstreamNotReachedError``."""
         if not fresh:
             connection = self._take_idle(address)
             if connection is not None:
-                self._open[address] += 1
                 return connection
-        self._open[address] += 1
         try:
             return await self._connect(address)
         except Exception as error:
-            self._open[address] -= 1
             raise UpstreamNotReachedError(
                 reason=f"{address[0]}:{address[1]} was not reached ({type(error).__name__}).",
                 remedy="Another upstream is tried.",
@@ -55,7 +47,6 @@
 
     def release(self, address: Address, connection: UpstreamConnection) -> None:
         """Take a connection back after its request, or close it if it cannot serve another."""
-        self._open[address] -= 1
         if not connection.usable or len(self._idle[address]) >= MOST_IDLE:
             connection.drop()
             return
--- a/src/cactusshunt/membership/membership_task.py
+++ b/src/cactusshunt/membership/membership_task.py
@@ -7,12 +7,9 @@
 import time
 
 from typing import TYPE_CHECKING
-from typing import Any
 
 import msgspec
 
-from twisted.internet.defer import Deferred
-
 from cactusshunt.decisions.rendezvous import rank_nodes
 from cactusshunt.exceptions import CompareFailedError
 from cactusshunt.exceptions import LeaseEndedError
@@ -30,10 +27,9 @@
 from cactusshunt.platform.documents import OWN_PREFIX
 from cactusshunt.platform.store import ABSENT
 from cactusshunt.platform.store import StoredItem
+from cactusshunt.tasks.periodic import pause
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from twisted.internet.base import ReactorBase
 
     from cactusshunt.membership.peer_link import PeerLink
@@ -62,7 +58,6 @@
         record: PeerRecord,
         lease_s: float,
         turn_s: float,
-        on_elected: Callable[[], None],
     ) -> None:
         self._reactor = reactor
         self._store = store
@@ -71,7 +66,6 @@
         self._record = record
         self._lease_s = lease_s
         self._turn_s = turn_s
-        self._on_elected = on_elected
         self._incarnation = secrets.token_hex(4)
         self._lease = 0
         self._renewed_at = 0.0
@@ -170,7 +164,9 @@
             except StoreError as error:
                 if self._registered:
                     log_event("renewal_failed", reason=error.reason)
-            await self._pause(self._lease_s * RENEWAL_PART * self._random.uniform(0.85, 1.0))
+            await pause(
+                self._reactor, self._lease_s * RENEWAL_PART * self._random.uniform(0.85, 1.0)
+            )
 
     async def leave(self) -> None:
         """Give up the right and the record; the lease's keys go with it.
@@ -266,7 +262,6 @@
         self._last_tenure = self._tenure
         waits_s = round(self._tenure.begins_at - now, 3)
         log_event("right_won", token=item.revision, former=former, waits_s=waits_s)
-        self._on_elected()
 
     def _zones_of_vms(self, now: float) -> list[str]:
         """Return the zones of this VM and of those that were registered lately."""
@@ -319,12 +314,6 @@
     def _now(self) -> float:
         return self._reactor.seconds()
 
-    def _pause(self, seconds: float) -> Deferred[None]:
-        paused: Deferred[None] = Deferred()
-        reactor: Any = self._reactor
-        reactor.callLater(seconds, paused.callback, None)
-        return paused
-
 
 def _slept_s() -> float:
     """Return how long the VM has been suspended since its start."""
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -94,7 +94,6 @@
             ),
             lease_s=max(LEASE_S, settings.platform.ttl_min_ms / 1000.0),
             turn_s=bounds.lease_ms / 1000.0,
-            on_elected=lambda: None,
         )
         self._orders = OrderTask(
             reactor=reactor,
--- a/src/cactusshunt/routing/directory.py
+++ b/src/cactusshunt/routing/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,7 @@
         self._drain_s = drain_s
         self._clock = clock
         self._upstreams: dict[str, Upstream] = {}
+        self._by_service: defaultdict[str, dict[str, Upstream]] = defaultdict(dict)
         self._sent: dict[str, int] = {}
         self.on_change: Callable[[], None] = lambda: None
         self.wake_later: Callable[[float], None] = lambda seconds: None
@@ -51,8 +53,7 @@
         of the store entries of living upstreams lapse and return.
         """
         self._expire()
-        known = [found for found in self._upstreams.values() if found.entry.service == service]
-        ready = [found for found in known if found.ready]
+        ready = [found for found in self._by_service[service].values() if found.ready]
         standing = [found for found in ready if found.removed_at is None]
         return standing or ready
 
@@ -60,8 +61,8 @@
         """Return when an item is expected on some upstream, if one is under way."""
         times = [
             found.held.coming[item]
-            for found in self._upstreams.values()
-            if found.entry.service == service and item in found.held.coming
+            for found in self._by_service[service].values()
+            if item in found.held.coming
         ]
         return min(times, default=None)
 
@@ -124,6 +125,8 @@
         if found.entry.born != entry.born:
             log_event("upstream_restarted", upstream=name, born=entry.born)
             found.forget_state()
+        self._by_service[found.entry.service].pop(name, None)
+        self._by_service[entry.service][name] = found
         found.entry = entry
         found.address = split_address(entry.address)
         found.removed_at = None
@@ -168,4 +171,6 @@
             for name, found in self._upstreams.items()
             if found.removed_at is not None and found.removed_at <= limit
         ]:
-            self.on_gone(self._upstreams.pop(name))
+            found = self._upstreams.pop(name)
+            self._by_service[found.entry.service].pop(name, None)
+            self.on_gone(found)
--- a/src/cactusshunt/tasks/periodic.py
+++ b/src/cactusshunt/tasks/periodic.py
@@ -78,5 +78,13 @@
     Deferred.fromCoroutine(coroutine).addErrback(_log_failure)
 
 
+def pause(reactor: ReactorBase, seconds: float) -> Deferred[None]:
+    """Return a Deferred that ends after a time."""
+    paused: Deferred[None] = Deferred()
+    clock: Any = reactor
+    clock.callLater(seconds, paused.callback, None)
+    return paused
+
+
 def _log_failure(failure: Failure) -> None:
     log.error("coroutine failed: {}", failure.getTraceback())
