--- a/src/cactusshunt/requests/upstream_picker.py
+++ b/src/cactusshunt/requests/upstream_picker.py
@@ -123,9 +123,18 @@
         return Picked(refusal=Refusal(reason="nobody waits", retry_after_s=0.5))
 
     def _expected_at(self, job: Job) -> float | None:
+        """Return when what a request asks for should be there, ``None`` if that is not known.
+
+        An adapter of a model that serves already needs no further replica of the model.
+        """
         assert job.generation is not None
-        model_at = self._directory.expected_at(job.service, job.generation.model)
-        return model_at or self._directory.expected_at(job.service, job.item)
+        item_at = self._directory.expected_at(job.service, job.item)
+        model = job.generation.model
+        if item_at is not None or not job.generation.adapter:
+            return item_at
+        if any(model in found.held.models for found in self._directory.usable(job.service)):
+            return None
+        return self._directory.expected_at(job.service, model)
 
     def _next_change(self, seconds: float) -> Deferred[None]:
         changed: Deferred[None] = Deferred()
--- /dev/null
+++ b/tests/steps/waiting_steps.py
@@ -0,0 +1,107 @@
+"""Steps on requests that wait for a model or an adapter."""
+
+from __future__ import annotations
+
+import json
+
+from types import SimpleNamespace
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from cactusshunt.membership.messages import Holdings
+from cactusshunt.placement.demand_meter import DemandMeter
+from cactusshunt.platform.store import StoredItem
+from cactusshunt.requests.upstream_picker import UpstreamPicker
+from cactusshunt.routing.directory import Directory
+
+DRAIN_S = 2.0
+
+
+def start(context: Any) -> None:
+    context.clock = Clock()
+    context.word = 0
+    context.directory = Directory(drain_s=DRAIN_S, clock=context.clock.seconds)
+    context.picker = UpstreamPicker(
+        reactor=context.clock,
+        directory=context.directory,
+        meter=DemandMeter(),
+        availability_zone="z",
+        hurry=lambda: None,
+    )
+    context.directory.on_change = context.picker.wake
+    for name in ("e1", "e2"):
+        entry = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready"}
+        value = json.dumps(entry).encode()
+        context.directory.take_item(StoredItem(key=f"servers/{name}", value=value, revision=1))
+
+
+def tell(context: Any, name: str, models: dict[str, list[str]], coming: dict[str, int]) -> None:
+    context.word += 1
+    holdings = Holdings(upstream=name, born=0, word=context.word, models=models, coming=coming)
+    context.directory.take_holdings(holdings, 1)
+
+
+@given("an engine that serves a model and one that will serve it in {ms:d} ms")
+def serve_one(context: Any, ms: int) -> None:
+    start(context)
+    tell(context, "e1", {"m": []}, {})
+    tell(context, "e2", {}, {"m": ms})
+
+
+@given("an engine that will serve a model in {ms:d} ms")
+def serve_none(context: Any, ms: int) -> None:
+    start(context)
+    tell(context, "e2", {}, {"m": ms})
+
+
+def ask(context: Any, adapter: str, patience_ms: int) -> None:
+    item = f"m/{adapter}" if adapter else "m"
+    job = SimpleNamespace(
+        generation=SimpleNamespace(model="m", adapter=adapter, prompt_tokens=100, parts=()),
+        service="s",
+        item=item,
+        request_id=b"r",
+        route=SimpleNamespace(name="r", priority=1, target_latency_ms=800.0),
+        connection=SimpleNamespace(gone=False),
+        done=False,
+        excluded=set(),
+        patience_ms=lambda now: float(patience_ms),
+    )
+    context.picked = []
+    Deferred.fromCoroutine(context.picker.pick(job)).addCallback(context.picked.append)
+
+
+@when("a caller asks for an adapter of it that no engine holds, with {ms:d} ms of patience")
+def ask_adapter(context: Any, ms: int) -> None:
+    ask(context, "a1", ms)
+
+
+@when("a caller asks for the model, with {ms:d} ms of patience")
+def ask_model(context: Any, ms: int) -> None:
+    ask(context, "", ms)
+
+
+@then("after {ms:d} ms the request still waits")
+def check_waits(context: Any, ms: int) -> None:
+    context.clock.advance(ms / 1000.0)
+    assert not context.picked, context.picked
+
+
+@when("the first engine's adapter is told to be there")
+def tell_adapter(context: Any) -> None:
+    tell(context, "e1", {"m": ["a1"]}, {})
+
+
+@then("the request goes to the first engine")
+def check_first(context: Any) -> None:
+    assert context.picked[0].upstream.name == "e1"
+
+
+@then("the request is refused at once, to come back after {seconds:g} s or more")
+def check_refused(context: Any, seconds: float) -> None:
+    assert context.picked[0].refusal.retry_after_s >= seconds
