--- a/tests/placement/replica_plan.feature
+++ b/tests/placement/replica_plan.feature
@@ -27,3 +27,8 @@
     Given an engine with a model asked for 0.2 s ago, held elsewhere too, and one asked for 8 s ago
     When callers ask for a third model that does not fit beside them
     Then the model asked for 8 s ago makes room
+
+  Scenario: Demand that moved away for some seconds finds its model again
+    Given an engine with a model asked 10 times a second until 6 s ago, and one asked once 6 s ago
+    When callers ask for a third model that does not fit beside them
+    Then the model that was asked once makes room
