--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -14,6 +14,7 @@
 from cactusshunt.placement.fleet_state import PlannedOrder
 from cactusshunt.placement.fleet_state import WeightSource
 from cactusshunt.placement.model_worth import NEWCOMER_S
+from cactusshunt.placement.model_worth import UNLOAD_S
 from cactusshunt.placement.model_worth import ModelWorth
 from cactusshunt.placement.replica_strain import ReplicaTally
 
@@ -127,7 +128,10 @@
             self._order(engine, model, None, "room was made")
 
     def keep_spare_places(self) -> None:
-        """Drop what is least likely to be asked for, so that a rare model finds room at once."""
+        """Drop what is least likely to be asked for, so that a rare model finds room at once.
+
+        A model with requests under way would keep its engine from other orders until they end.
+        """
         if self._state.observed_s <= NEWCOMER_S:
             return
         size = max((fact.size_mb for fact in self._state.facts.values()), default=0.0)
@@ -137,8 +141,11 @@
             return
         options = []
         for engine in self._engines.values():
-            if engine.reserved_for is None and engine not in free and engine.models:
-                loss, victim = min((self._worth.loss(m, engine.speed), m) for m in engine.models)
+            if engine.reserved_for is not None or engine in free:
+                continue
+            idle = [model for model in engine.models if self._worth.unload_s(model) <= UNLOAD_S]
+            if idle:
+                loss, victim = min((self._worth.loss(m, engine.speed), m) for m in idle)
                 options.append((loss, engine.name, victim))
         if options and min(options)[0] < SPARE_LOSS_PER_S:
             _, name, victim = min(options)
--- a/tests/steps/replica_plan_steps.py
+++ b/tests/steps/replica_plan_steps.py
@@ -156,3 +156,34 @@
 @then("the model that was asked once makes room")
 def check_once_goes(context: Any) -> None:
     assert [(order.load, order.model) for order in context.orders] == [(False, "once")]
+
+
+@given("4 engines full of models asked for 0.5 s ago, each held twice")
+def fill_engines(context: Any) -> None:
+    places = (("m0", "m1"), ("m1", "m2"), ("m2", "m3"), ("m3", "m0"))
+    context.engines = [
+        EngineState(
+            name=f"e{number}",
+            availability_zone="x",
+            capacity_mb=150.0,
+            adapter_places=5,
+            sequence=0,
+            busy=False,
+            models=dict.fromkeys(models, frozenset()),
+        )
+        for number, models in enumerate(places)
+    ]
+    context.demand = {
+        f"m{number}": Demand(tokens_per_ms=0.5, last_asked_at=NOW - 0.5, usual_per_s=0.3)
+        for number in range(4)
+    }
+
+
+@when("a plan is made while no request waits")
+def plan_calmly(context: Any) -> None:
+    ask_third(context)
+
+
+@then("nothing is dropped")
+def check_none_dropped(context: Any) -> None:
+    assert not context.orders, context.orders
