Spread news over one copy a zone in large fleets only

Below 16 VMs every word is sent to each VM again; above it only the order holder's news crosses over one VM a zone, its second copy over another.

--- a/src/cactusshunt/membership/announcer.py
+++ b/src/cactusshunt/membership/announcer.py
@@ -9,6 +9,7 @@
 from cactusshunt.membership.messages import EngineWork
 from cactusshunt.membership.messages import ItemDemand
 from cactusshunt.membership.messages import Status
+from cactusshunt.membership.peer_link import MANY_VMS
 from cactusshunt.membership.tenure import SILENCE_S
 
 if TYPE_CHECKING:
@@ -22,7 +23,6 @@
 STATUS_S = 0.2  # a prompt's prefill takes about half of it
 DEMAND_S = 0.4  # placement follows demand that moves within seconds
 SILENT_EVERY = 8  # words of demand between two that name silent items too, for a new holder
-MANY_VMS = 16  # above it work is told in the own zone only
 HURRY_S = 0.01  # requests that begin to wait together are told in one datagram
 
 
@@ -77,12 +77,8 @@
         status = Status(
             vm=self._vm, sent=self._sent, store_silent_ms=int(silent_s * 1000), work=work
         )
-        if lonely:
-            self._link.send(status, list(self._link.peers))
-        elif len(self._link.peers) < MANY_VMS:
-            self._link.spread(status, self._zone)
-        else:
-            self._link.send(status, self._near())
+        tells_all = lonely or len(self._link.peers) < MANY_VMS
+        self._link.send(status, list(self._link.peers) if tells_all else self._near())
 
     def send_demand(self) -> None:
         """Tell the order holder what callers ask for."""
--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -35,15 +35,13 @@
 class Status(msgspec.Struct, frozen=True, kw_only=True, tag="s", array_like=True):
     """What one VM tells the others of its work several times a second.
 
-    ``store_silent_ms`` is the time since the platform's store last answered it. A word with
-    ``hand_on`` is sent on to the reader's zone, without it.
+    ``store_silent_ms`` is the time since the platform's store last answered it.
     """
 
     vm: str
     sent: int
     store_silent_ms: int
     work: list[EngineWork]
-    hand_on: bool = False
 
 
 class DemandWord(msgspec.Struct, frozen=True, kw_only=True, tag="d", array_like=True):
--- a/src/cactusshunt/membership/peer_link.py
+++ b/src/cactusshunt/membership/peer_link.py
@@ -20,8 +20,8 @@
 
     from cactusshunt.membership.messages import Message
     from cactusshunt.membership.messages import PlacementNews
-    from cactusshunt.membership.messages import Status
 
+MANY_VMS = 16  # above it bytes between zones cost more than the delay of a second hop
 LARGEST_DATAGRAM_BYTES = 60_000  # below the limit of UDP over IPv4
 
 
@@ -79,23 +79,26 @@
             except OSError:
                 continue
 
-    def spread(self, message: Status | PlacementNews, own_zone: str) -> None:
-        """Send one message to all peers, with one copy into each other zone."""
+    def spread(self, news: PlacementNews, own_zone: str) -> None:
+        """Send news to all peers; in a large fleet with one copy into each other zone."""
+        if len(self._peers) < MANY_VMS:
+            self.send(news, list(self._peers))
+            return
         self._turn += 1
         zones = {vm: peer.record.availability_zone for vm, peer in self._peers.items()}
         near, relays = choose_recipients(zones, own_zone, self._turn)
-        self.send(message, near)
+        self.send(news, near)
         if relays:
-            self.send(msgspec.structs.replace(message, hand_on=True), relays)
+            self.send(msgspec.structs.replace(news, hand_on=True), relays)
 
-    def hand_on(self, message: Status | PlacementNews, own_zone: str) -> None:
-        """Send a message that came from another zone to the peers of this one."""
+    def hand_on(self, news: PlacementNews, own_zone: str) -> None:
+        """Send news that came from another zone to the peers of this one."""
         near = [
             vm
             for vm, peer in self._peers.items()
-            if peer.record.availability_zone == own_zone and vm != message.vm
+            if peer.record.availability_zone == own_zone and vm != news.vm
         ]
-        self.send(msgspec.structs.replace(message, hand_on=False), near)
+        self.send(msgspec.structs.replace(news, hand_on=False), near)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Hand on a message of a known VM; others may use the port."""
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -257,8 +257,6 @@
         log_event("configuration", version=configuration.version, routes=len(configuration.routes))
 
     def _receive(self, message: Message) -> None:
-        if not isinstance(message, DemandWord) and message.hand_on:
-            self._link.hand_on(message, self._settings.zone)
         if isinstance(message, Status):
             self._directory.take_status(message)
             self._membership.take_store_word(message.vm, message.store_silent_ms / 1000.0)
@@ -266,6 +264,8 @@
         if isinstance(message, DemandWord):
             self._take_demand(message)
             return
+        if message.hand_on:
+            self._link.hand_on(message, self._settings.zone)
         for holdings in message.engines:
             self._directory.take_holdings(holdings, message.token)
 
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -1,15 +1,18 @@
 """Stand-in for one engine of the users' platform, or for a plain service without models.
 
-Run as ``python -m stand_ins.platform_engine NAME PORT STORE_PORT SERVICE MODEL,MODEL``. It writes
-its entry into the store, takes orders, and answers with a seal and the request's identity.
+Run as ``python -m stand_ins.platform_engine NAME PORT STORE_PORT SERVICE MODEL,MODEL LINK_PORT``,
+where the last names the port that others reach it on, if that is another one. It writes its entry
+into the store, takes orders, and answers with a seal and the request's identity.
 ``POST /test/fault`` names what befalls the next requests: ``refuse``, ``vanish``, ``tear``,
-``foreign``. ``GET /test/runs`` lists the identities of what ran.
+``foreign``. ``GET /test/runs`` lists the identities of what ran; standard output has a line with
+identity and time for each.
 """
 
 from __future__ import annotations
 
 import json
 import sys
+import time
 import urllib.request
 
 from typing import TYPE_CHECKING
@@ -37,8 +40,9 @@
 class PlatformEngineStandIn:
     """Models in places, orders with a sequence, and streams of numbered events."""
 
-    def __init__(self, name: str, port: int, store: int, service: str, models: list[str]) -> None:
-        self._name, self._port, self._store, self._service = name, port, store, service
+    def __init__(self, name: str, link: int, store: int, service: str, models: list[str]) -> None:
+        self._name, self._link, self._store, self._service = name, link, store, service
+        self._born = int(time.time() * 1000)
         self._models = models
         self._sequence = 0
         self._busy = False
@@ -52,11 +56,11 @@
         """Write the entry into the store."""
         entry = {
             "service": self._service,
-            "address": f"127.0.0.1:{self._port}",
+            "address": f"127.0.0.1:{self._link}",
             "zone": "east",
             "slots": 8,
             "state": state,
-            "born": 1,
+            "born": self._born,
             "models": self._held(),
             "sequence": 1,
         }
@@ -86,7 +90,7 @@
                 "models": self._held(),
                 "busy": self._busy,
                 "sequence": self._sequence,
-                "born": 1,
+                "born": self._born,
             }
         if path == "/v1/order":
             return self._take_order(request)
@@ -127,6 +131,7 @@
             request.setHeader("X-Not-Executed", "1")
             return encode_answer(request, {}, 503)
         self._runs.append(identity)
+        print("run", identity, time.time(), flush=True)
         request.notifyFinish().addErrback(lambda _: self._cancelled.append(identity))
         if fault == "vanish":
             abort_connection(request)
@@ -163,7 +168,6 @@
 if __name__ == "__main__":
     arguments = sys.argv[1:]
     held = [model for model in arguments[4].split(",") if model] if len(arguments) > 4 else []
-    engine = PlatformEngineStandIn(
-        arguments[0], int(arguments[1]), int(arguments[2]), arguments[3], held
-    )
+    link = int(arguments[5]) if len(arguments) > 5 else int(arguments[1])
+    engine = PlatformEngineStandIn(arguments[0], link, int(arguments[2]), arguments[3], held)
     serve(engine.handle, int(arguments[1]))
