Add a soak of the real programs under faults from outside

Ruled out: faults inside the programs (they are run as they are). Clocks can't be changed from outside.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN := $(VENV)/bin
 ARGS ?=
 
-.PHONY: setup serve test check scenarios generate binary bench capacity replay
+.PHONY: setup serve test check scenarios generate binary bench capacity replay soak
 
 $(VENV)/.installed: requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -17,7 +17,7 @@
 	$(RUN)/python -m local.serve $(ARGS)
 
 check: setup
-	$(RUN)/black --check --quiet src stand_ins local measure tests
+	$(RUN)/black --check --quiet src stand_ins local measure soak tests
 	$(RUN)/ruff check --quiet .
 	$(RUN)/mypy
 
@@ -46,3 +46,6 @@
 
 replay: setup
 	$(RUN)/python -m measure.replay $(ARGS)
+
+soak: setup
+	$(RUN)/python -m soak $(ARGS)
