Tell the longest pause within each stream

Cause: on the grown sites a third of the long streams came late although 99 of 100 first tokens were in time; the log told nothing about pauses between events. Now request_answered and a histogram tell them.

--- a/src/cactusshunt/requests/answer_sink.py
+++ b/src/cactusshunt/requests/answer_sink.py
@@ -15,11 +15,22 @@
 
 
 class AnswerSink:
-    """Receiver of one or, for a resumed stream, several upstreams' answers to one request."""
+    """Receiver of one or, for a resumed stream, several upstreams' answers to one request.
+
+    ``longest_gap_s`` is the longest pause between parts that were passed on.
+    """
 
     def __init__(
-        self, *, connection: CallerConnection, request_id: bytes | None, streams: bool
+        self,
+        *,
+        connection: CallerConnection,
+        request_id: bytes | None,
+        streams: bool,
+        clock: Callable[[], float],
     ) -> None:
+        self._clock = clock
+        self._passed_at: float | None = None
+        self.longest_gap_s = 0.0
         self._connection = connection
         self._request_id = request_id
         self._streams = streams
@@ -94,4 +105,8 @@
             self.begun = True
             self._connection.begin(self.status, names.pass_headers(self.headers))
         if data:
+            now = self._clock()
+            if self._passed_at is not None:
+                self.longest_gap_s = max(self.longest_gap_s, now - self._passed_at)
+            self._passed_at = now
             self._connection.write(data)
--- a/src/cactusshunt/requests/caller_requests.py
+++ b/src/cactusshunt/requests/caller_requests.py
@@ -120,7 +120,12 @@
             request_id=request_id,
             headers=names.pass_headers(request.headers, DROPPED),
             deadline=request.arrived_at + limit_ms / 1000.0,
-            sink=AnswerSink(connection=connection, request_id=request_id, streams=route.streams),
+            sink=AnswerSink(
+                connection=connection,
+                request_id=request_id,
+                streams=route.streams,
+                clock=self._reactor.seconds,
+            ),
         )
         refusal = self._judge_stop(job, now)
         if refusal is not None:
--- a/src/cactusshunt/requests/request_log.py
+++ b/src/cactusshunt/requests/request_log.py
@@ -59,6 +59,7 @@
         sends=count_sends(job),
         first_after_ms=_ms_since(arrived, job.first_byte_at),
         queued_ms=_ms_since(arrived, job.last_sent_at),
+        longest_gap_ms=int(job.sink.longest_gap_s * 1000) if job.route.streams else None,
         after_ms=_ms_since(arrived, now),
     )
 
--- a/src/cactusshunt/telemetry/event_metrics.py
+++ b/src/cactusshunt/telemetry/event_metrics.py
@@ -49,6 +49,9 @@
         self._engine = _histogram(
             registry, "upstream_seconds", "One send to its end.", SECONDS, "kind"
         )
+        self._gaps = _histogram(
+            registry, "stream_gap_seconds", "Longest pause within a stream.", SECONDS
+        )
         self._loads = _histogram(
             registry, "load_seconds", "Order of a load to its end.", LOAD_SECONDS
         )
@@ -74,6 +77,7 @@
         self._count_request(fields, "answered", status)
         _observe_ms(self._first.labels(kind), fields["first_after_ms"])
         _observe_ms(self._queue.labels(kind), fields["queued_ms"])
+        _observe_ms(self._gaps, fields["longest_gap_ms"])
         if self._statsd is not None and fields["first_after_ms"] is not None:
             self._statsd.time(f"first_byte.{kind}", fields["first_after_ms"])
 
