--- a/src/cactusshunt/membership/announcer.py
+++ b/src/cactusshunt/membership/announcer.py
@@ -65,6 +65,7 @@
                 running=found.running,
                 pending=found.own_pending(),
                 tokens_per_s=found.own_tokens_per_s(),
+                long_streams=found.own_long_streams,
             )
             for found in self._directory.all()
             if found.running
--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -9,13 +9,15 @@
     """One VM's unfinished work at one upstream.
 
     ``pending`` counts uncached prompt tokens that wait for their first token, by priority;
-    ``running`` counts requests; ``tokens_per_s`` is the prefill rate that it saw, 0 if none.
+    ``running`` counts requests; ``tokens_per_s`` is the prefill rate that it saw, 0 if none;
+    ``long_streams`` counts requests that go on for longer than their objective.
     """
 
     upstream: str
     running: int
     pending: dict[int, int] = {}
     tokens_per_s: int = 0
+    long_streams: int = 0
 
 
 class ItemDemand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/src/cactusshunt/requests/job.py
+++ b/src/cactusshunt/requests/job.py
@@ -6,6 +6,8 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from cactusshunt.routing.work_ahead import STEP_MS
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -64,6 +66,13 @@
             return "streaming"
         return "idempotent" if self.route.repeatable else "non_idempotent"
 
+    @property
+    def lasts_long(self) -> bool:
+        """Tell whether its tokens take longer to come out than its first byte may take."""
+        if self.generation is None:
+            return False
+        return self.generation.output_tokens * STEP_MS > self.route.target_latency_ms
+
     @property
     def item(self) -> str:
         """Return ``model`` or ``model/adapter``, empty for a plain request."""
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -134,7 +134,12 @@
     ) -> Outcome:
         now = self._now()
         job.last_sent_at = now
-        attempt = Attempt(tokens=picked.own_tokens, priority=job.route.priority, sent_at=now)
+        attempt = Attempt(
+            tokens=picked.own_tokens,
+            priority=job.route.priority,
+            sent_at=now,
+            lasts_long=job.lasts_long,
+        )
         job.sink.reset()
         job.first_data_at = 0.0
         job.sink.on_first_data = lambda: self._note_first_token(job, picked, upstream, attempt)
--- a/src/cactusshunt/requests/upstream_picker.py
+++ b/src/cactusshunt/requests/upstream_picker.py
@@ -178,7 +178,12 @@
         if not usable:
             return None
         candidates = {found.name: self._describe(found, job, now) for found in usable}
-        choice = choose_engine(list(candidates.values()), job.route.target_latency_ms, self._random)
+        choice = choose_engine(
+            list(candidates.values()),
+            job.route.target_latency_ms,
+            self._random,
+            lasts_long=job.lasts_long,
+        )
         assert choice is not None
         chosen = candidates[choice.name]
         refusal = judge_expected_wait(
@@ -215,6 +220,7 @@
             running=upstream.total_running(now),
             tokens_per_ms=upstream.rate,
             failure_share=upstream.suspicion.share,
+            long_streams=upstream.long_streams(now),
         )
 
     def _now(self) -> float:
--- a/src/cactusshunt/routing/choice.py
+++ b/src/cactusshunt/routing/choice.py
@@ -20,6 +20,8 @@
 
 OTHER_ZONE_PART = 0.25  # of the latency objective: nearer work comes in time all the same
 JITTER_MS = 15.0  # VMs with the same word must not all choose the same upstream
+STREAM_PAUSE_MS = 5.0  # that a prompt's reading, some 100 ms, is worth for each stream it delays
+MOST_STREAMS = 12.0  # beyond which more of them don't turn a request away further
 UNPROVEN_MS = 60.0  # against an upstream that failed lately
 
 
@@ -34,6 +36,7 @@
     running: float
     tokens_per_ms: float
     failure_share: float
+    long_streams: float = 0.0
 
     @property
     def work(self) -> WorkAhead:
@@ -52,15 +55,25 @@
 
 
 def choose_engine(
-    candidates: Sequence[Candidate], target_ms: float, draw: random.Random
+    candidates: Sequence[Candidate],
+    target_ms: float,
+    draw: random.Random,
+    *,
+    lasts_long: bool = False,
 ) -> Choice | None:
-    """Return the engine with the least expected time to the first token."""
+    """Return the engine with the least expected time to the first token.
+
+    A prompt that is read between the tokens of long streams makes these pause, so that a request
+    that does not last long itself keeps away from them where it can.
+    """
     best: tuple[float, Choice] | None = None
     for candidate in candidates:
         expected = estimate_first_token_ms(candidate.work, candidate.tokens_per_ms)
         score = expected + draw.uniform(0.0, JITTER_MS) + UNPROVEN_MS * candidate.failure_share
         if not candidate.same_zone:
             score += OTHER_ZONE_PART * target_ms
+        if not lasts_long:
+            score += STREAM_PAUSE_MS * min(MOST_STREAMS, candidate.long_streams)
         if best is None or score < best[0]:
             best = (score, Choice(name=candidate.name, expected_ms=expected))
     return best[1] if best else None
--- a/src/cactusshunt/routing/upstream.py
+++ b/src/cactusshunt/routing/upstream.py
@@ -25,11 +25,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Attempt:
-    """One request at an upstream: uncached tokens, priority, time of sending."""
+    """One request at an upstream: uncached tokens, priority, time of sending.
+
+    ``lasts_long`` tells of a stream that goes on for longer than its objective to the first byte.
+    """
 
     tokens: float
     priority: int
     sent_at: float
+    lasts_long: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -69,6 +73,7 @@
         self._own_rate: float | None = None
         self._waiting: set[Attempt] = set()
         self._running = 0
+        self._long_streams = 0
         self._peer_work: dict[str, tuple[float, EngineWork]] = {}
         self._reported: tuple[float, int, int] | None = None
 
@@ -82,6 +87,16 @@
         """Return this VM's requests at the upstream."""
         return self._running
 
+    @property
+    def own_long_streams(self) -> int:
+        """Return this VM's long streams at the upstream."""
+        return self._long_streams
+
+    def long_streams(self, now: float) -> int:
+        """Return the long streams of all VMs, as last heard."""
+        heard = (w.long_streams for at, w in self._peer_work.values() if now - at < PEER_WORD_S)
+        return self._long_streams + sum(heard)
+
     @property
     def rate(self) -> float:
         """Return the prefill rate in tokens a ms, as seen here and by peers that work with it."""
@@ -114,6 +129,7 @@
         """Count a request that was sent."""
         self._waiting.add(attempt)
         self._running += 1
+        self._long_streams += attempt.lasts_long
 
     def note_first_token(self, attempt: Attempt) -> None:
         """Count a request whose prompt has been read."""
@@ -123,6 +139,7 @@
         """Count a request's end."""
         self._waiting.discard(attempt)
         self._running -= 1
+        self._long_streams -= attempt.lasts_long
 
     def own_pending(self) -> dict[int, int]:
         """Return this VM's tokens that wait for their first token, by priority."""
--- /dev/null
+++ b/tests/steps/stream_pause_steps.py
@@ -0,0 +1,60 @@
+"""Steps on the choice of engines beside long streams."""
+
+from __future__ import annotations
+
+import random
+
+from dataclasses import replace
+from typing import Any
+
+from behave import given
+from behave import then
+
+from cactusshunt.routing.choice import Candidate
+from cactusshunt.routing.choice import choose_engine
+
+TARGET_MS = 800.0
+
+
+@given("two engines alike but that one of them carries {count:d} long streams")
+def make_engines(context: Any, count: int) -> None:
+    free = Candidate(
+        name="free",
+        same_zone=True,
+        pending_tokens=0.0,
+        own_tokens=2_000.0,
+        running=float(count),
+        tokens_per_ms=20.0,
+        failure_share=0.0,
+    )
+    context.candidates = [free, replace(free, name="streaming", long_streams=float(count))]
+    context.draw = random.Random(5)
+
+
+@given("the other one has {tokens:d} tokens to read")
+def add_queue(context: Any, tokens: int) -> None:
+    context.candidates[0] = replace(context.candidates[0], pending_tokens=float(tokens))
+
+
+def choose(context: Any, count: int, *, lasts_long: bool) -> set[str]:
+    chosen = set()
+    for _ in range(count):
+        choice = choose_engine(context.candidates, TARGET_MS, context.draw, lasts_long=lasts_long)
+        assert choice is not None
+        chosen.add(choice.name)
+    return chosen
+
+
+@then("{count:d} short requests go to the other one")
+def check_other(context: Any, count: int) -> None:
+    assert choose(context, count, lasts_long=False) == {"free"}
+
+
+@then("of {count:d} requests that last long some go to each")
+def check_each(context: Any, count: int) -> None:
+    assert choose(context, count, lasts_long=True) == {"free", "streaming"}
+
+
+@then("{count:d} short requests go to the one with the streams")
+def check_streaming(context: Any, count: int) -> None:
+    assert choose(context, count, lasts_long=False) == {"streaming"}
--- a/tests/steps/waiting_steps.py
+++ b/tests/steps/waiting_steps.py
@@ -69,6 +69,7 @@
         route=SimpleNamespace(name="r", priority=1, target_latency_ms=800.0),
         connection=SimpleNamespace(gone=False),
         done=False,
+        lasts_long=False,
         excluded=set(),
         patience_ms=lambda now: float(patience_ms),
     )
