Look at an engine before room that was not used is given up

Cause: found in reading. A reservation ran out by itself after 6 s; the unload before it could still be waiting for requests, and an adapter could then be planned into memory that was not free yet. Ruled out: a longer reservation (an unload waits for as long as a stream lasts).

--- a/src/cactusshunt/placement/engine_ledger.py
+++ b/src/cactusshunt/placement/engine_ledger.py
@@ -161,6 +161,18 @@
             self.changed = True
         self.planned = planned
 
+    def expire_reservation(self, now: float) -> None:
+        """Give up what room was made for, if its load was not given in time.
+
+        The unload may still wait for requests, so the engine is asked before anything else.
+        """
+        if self.reserved_for is None or now < self.reserved_until or self.calling:
+            return
+        self.coming.pop(self.reserved_for, None)
+        self.reserved_for = None
+        self.report_due_at = now
+        self.changed = True
+
     def list_coming(self, now: float) -> dict[str, float]:
         """Return the seconds until items should serve, by item.
 
@@ -240,7 +252,7 @@
             coming=frozenset(
                 item for item, at in self.coming.items() if "/" not in item and at > now - LATE_S
             ),
-            reserved_for=self.reserved_for if now < self.reserved_until else None,
+            reserved_for=self.reserved_for,
             in_memory=self.in_memory,
             on_disk=self.on_disk,
             running=running,
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -119,6 +119,7 @@
                 ledger.report_due_at = now
                 self._ledgers[upstream.name] = ledger
             ledger.take_entry(upstream.entry, now)
+            ledger.expire_reservation(now)
             asks = ledger.report_due_at
             if asks is not None and asks <= now and not ledger.calling:
                 ledger.calling = True
--- a/tests/placement/engine_ledger.feature
+++ b/tests/placement/engine_ledger.feature
@@ -24,3 +24,9 @@
     When the load that follows gets no answer
     Then callers are told of no load
     And its report is read and the engine is in doubt
+
+  Scenario: Room that was not used in time is given up after a look
+    Given an engine that accepted an unload that makes room
+    When its load is not given for 7 seconds
+    Then callers are told of no load
+    And nothing is ordered before its report is read
--- a/tests/steps/engine_ledger_steps.py
+++ b/tests/steps/engine_ledger_steps.py
@@ -103,3 +103,17 @@
     )
     assert state.unanswered_s < 1.0
     assert state.reserved_for is None
+
+
+@when("its load is not given for {seconds:d} seconds")
+def let_expire(context: Any, seconds: int) -> None:
+    context.now = NOW + seconds
+    context.ledger.expire_reservation(context.now)
+
+
+@then("nothing is ordered before its report is read")
+def check_asked(context: Any) -> None:
+    assert not context.ledger.can_take_order(context.now)
+    report = EngineReport(models=[], sequence=4, born=1)
+    context.ledger.take_report(report, context.now)
+    assert context.ledger.can_take_order(context.now)
--- a/tests/steps/model_plan_steps.py
+++ b/tests/steps/model_plan_steps.py
@@ -194,6 +194,7 @@
     now = NOW
     for _ in range(80):
         now += draw.uniform(0.05, 1.0)
+        ledger.expire_reservation(now)
         if draw.random() < 0.5:
             engine.finish()
         if ledger.confirm_due_at is not None and ledger.confirm_due_at <= now:
