Log a send as resumed only if it goes on with a begun stream

Ruled out: that the stream was resumed (Last-Event-Id was not sent). The scenario fails without the change.

--- a/src/cactusshunt/requests/job.py
+++ b/src/cactusshunt/requests/job.py
@@ -25,7 +25,8 @@
     """A request with its route, its final moment, and what became of its attempts.
 
     ``deadline`` is the steady-clock time of the final answer; ``running`` tells that an attempt's
-    bytes may have left and its outcome is open.
+    bytes may have left and its outcome is open; ``resumed`` that the latest attempt goes on with a
+    stream that had begun.
     """
 
     request: ReceivedRequest
@@ -45,6 +46,7 @@
     on_timeout: Callable[[], None] | None = None
     retry_after_s: float = 0.3
     last_sent_at: float | None = None
+    resumed: bool = False
     first_byte_at: float | None = None
 
     @property
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -134,6 +134,7 @@
     ) -> Outcome:
         now = self._now()
         job.last_sent_at = now
+        job.resumed = job.sink.begun
         attempt = Attempt(
             tokens=picked.own_tokens,
             priority=job.route.priority,
--- a/src/cactusshunt/requests/request_log.py
+++ b/src/cactusshunt/requests/request_log.py
@@ -29,7 +29,7 @@
         route=job.route.name,
         kind=job.kind,
         send=1 + count_sends(job),
-        resumed=job.sink.begun and bool(job.outcomes),
+        resumed=job.resumed,
         upstream=upstream.name,
         availability_zone=upstream.entry.zone,
         item=job.item,
--- a/tests/platform/node.feature
+++ b/tests/platform/node.feature
@@ -27,6 +27,7 @@
     Given the node deployment
     When both engines tear their next stream
     Then a stream that may be resumed arrives whole
+    And the log tells the first send of a torn stream as not resumed and the next as resumed
     When both engines tear their next stream
     Then a stream that may not be resumed does not look complete
 
--- a/tests/requests/waiting.feature
+++ b/tests/requests/waiting.feature
@@ -11,3 +11,7 @@
     Given an engine that will serve a model in 4000 ms
     When a caller asks for the model, with 3000 ms of patience
     Then the request is refused at once, to come back after 0.5 s or more
+
+  Scenario: A first send after an upstream that was not reached is logged as no resumption
+    Given a request whose first upstream was not reached and whose second one streamed
+    Then its attempt is logged as the first send and not as resumed
--- a/tests/steps/metrics_steps.py
+++ b/tests/steps/metrics_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 
 from concurrent.futures import ThreadPoolExecutor
@@ -80,3 +81,19 @@
     found = re.search(r"log_lines_left_out ([\d.]+)", context.nodes.metrics("n1"))
     assert found is not None
     assert float(found[1]) > 0
+
+
+@then("the log tells the first send of a torn stream as not resumed and the next as resumed")
+def check_resumed_line(context: Any) -> None:
+    def read_sends() -> dict[str, list[bool]]:
+        sends: dict[str, list[bool]] = {}
+        for row in context.nodes.read_log("n1").splitlines():
+            if '"attempt"' in row:
+                line = json.loads(row)
+                sends.setdefault(line["request"], []).append(line["resumed"])
+        return sends
+
+    wait_until(lambda: any(len(found) > 1 for found in read_sends().values()))
+    for found in read_sends().values():
+        assert found[0] is False
+        assert all(found[1:])
