--- a/measure/mutants.py
+++ b/measure/mutants.py
@@ -17,7 +17,18 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-COPIED = ("src", "tests", "stand_ins", "local", "measure", "KNOWN-RED.txt", "pyproject.toml")
+COPIED = (
+    "src",
+    "tests",
+    "stand_ins",
+    "local",
+    "measure",
+    "soak",
+    "deploy",
+    "docs",
+    "KNOWN-RED.txt",
+    "pyproject.toml",
+)
 MUTANTS_FILE = Path(__file__).with_name("mutants.json")
 RUN_TIMEOUT_S = 600
 
