--- a/tests/steps/answer_steps.py
+++ b/tests/steps/answer_steps.py
@@ -47,7 +47,8 @@
         deployment, entry, "POST", "/v1/completions", body=data, headers=headers
     )
     if status != 200:
-        return Received(prompt=prompt, tokens=tokens, status=status, text="", ended="problem")
+        problem = answer.decode(errors="replace")
+        return Received(prompt=prompt, tokens=tokens, status=status, text=problem, ended="problem")
     if not stream:
         text = json.loads(answer)["choices"][0]["text"]
         return Received(prompt=prompt, tokens=tokens, status=status, text=text, ended="whole")
