Let the soak's fleet be a local deployment behind links

Found in reading: SoakFleet started, configured, asked and ended the same programs as PlatformDeployment with code of its own. It now says only what differs: ports, and links to the store and the engines. Stand-ins of the local deployment print into its folder as well.

--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -21,7 +22,7 @@
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
 MODELS = ("captions", "summaries", "tags", "links", "letters")
-HELD = {"e1": "captions,summaries", "e2": "captions,tags"}
+HELD = {"e1": "captions,summaries", "e2": "captions,tags", "e3": "links,letters"}
 TEMPLATE = """
 node = "{node}"
 ip = "127.0.0.1"
@@ -43,7 +44,7 @@
     def __init__(self, *, first_port: int) -> None:
         self._first_port = first_port
         self._folder = tempfile.TemporaryDirectory(prefix="cactusshunt-")
-        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._started: list[subprocess.Popen[bytes]] = []
         self._version = 0
         self.store = first_port
@@ -52,17 +53,30 @@
 
     def start(self) -> None:
         """Start everything and wait until both nodes are ready and one may order."""
-        self._run("store", "stand_ins.platform_store", str(self.store))
+        self._spawn("store", "-m", "stand_ins.platform_store", str(self.store))
         wait_until(lambda: call(self.store, "GET", "/test/counts")[0] == 200)
         self.configure()
-        for name, port in self.engines.items():
-            service = "access" if name == "s1" else "engines"
-            arguments = (name, str(port), str(self.store), service, HELD.get(name, ""))
-            self._run(name, "stand_ins.platform_engine", *arguments)
+        for name in self.engines:
+            self.start_upstream(name)
         for name in self.fronts:
             self.start_node(name)
         wait_until(lambda: all(self._knows_all(name) for name in self.fronts))
 
+    def address_of(self, name: str) -> int:
+        """Return the port on which nodes reach an engine or a plain service."""
+        return self.engines[name]
+
+    def store_of(self, node: str) -> int:
+        """Return the port on which a node reaches the store."""
+        return self.store
+
+    def start_upstream(self, name: str) -> None:
+        """Start an engine or a plain service, which then holds what it holds at the beginning."""
+        service = "access" if name.startswith("s") else "engines"
+        ports = [str(self.engines[name]), str(self.store)]
+        what = [service, HELD.get(name, ""), str(self.address_of(name))]
+        self._spawn(name, "-m", "stand_ins.platform_engine", name, *ports, *what)
+
     def start_node(
         self, name: str, front: int = 0, metrics: int = 0, *, log_is_read: bool = True
     ) -> None:
@@ -74,22 +88,20 @@
         path = Path(self._folder.name) / f"{name}.toml"
         text = TEMPLATE.format(
             node=name,
-            zone="east" if name == "n1" else "west",
+            zone="east" if int(name[1:]) % 2 else "west",
             udp=front + 2,
             front=front,
             ready=front + 1,
-            store=self.store,
+            store=self.store_of(name),
         )
         path.write_text(text, encoding="utf-8")
-        environment = {**os.environ, "CACTUSSHUNT_BOOT": str(path)}
-        command = [sys.executable, str(ROOT / "deploy" / "node.py"), str(metrics or front + 3)]
-        with (Path(self._folder.name) / f"{name}.log").open("ab") as log:
-            output = log if log_is_read else subprocess.PIPE
-            started = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdout=output, stderr=log
-            )
-        self._started.append(started)
-        self._processes[name] = started
+        self._spawn(
+            name,
+            str(ROOT / "deploy" / "node.py"),
+            str(metrics or front + 3),
+            environment={"CACTUSSHUNT_BOOT": str(path)},
+            log_is_read=log_is_read,
+        )
 
     def configure(self, routes: list[dict[str, Any]] | None = None) -> int:
         """Write a configuration as the operator does and return its version."""
@@ -128,15 +140,15 @@
 
     def runs(self) -> list[str]:
         """Return the identities of all requests that engines ran."""
-        return [run for name in self.engines for run in self._state(name)["runs"]]
+        return [run for name in self.engines for run in self.state_of(name)["runs"]]
 
     def cancelled(self) -> list[str]:
         """Return the identities of requests whose connection ended before their answer."""
-        return [run for name in self.engines for run in self._state(name)["cancelled"]]
+        return [run for name in self.engines for run in self.state_of(name)["cancelled"]]
 
     def overcommitted(self) -> bool:
         """Tell whether any engine was ordered to hold more than fits."""
-        return any(self._state(name)["overcommitted"] for name in self.engines)
+        return any(self.state_of(name)["overcommitted"] for name in self.engines)
 
     def dump(self, node: str) -> dict[str, Any]:
         """Return a node's state."""
@@ -156,22 +168,25 @@
 
     def signal(self, node: str, number: signal.Signals) -> None:
         """Send a signal to a node that this deployment started."""
-        self._processes[node].send_signal(number)
+        self.processes[node].send_signal(number)
 
     def wait_end(self, node: str) -> int:
         """Wait for a node's end and return its status."""
-        return self._processes[node].wait(STOP_TIMEOUT_S)
+        return self.processes[node].wait(STOP_TIMEOUT_S)
 
-    def read_log(self, node: str) -> str:
-        """Return what a node has logged."""
-        return (Path(self._folder.name) / f"{node}.log").read_text(encoding="utf-8")
+    def read_log(self, name: str) -> str:
+        """Return what the processes of one name have printed."""
+        path = Path(self._folder.name) / f"{name}.log"
+        return path.read_text(encoding="utf-8", errors="replace")
 
-    def stop(self) -> None:
-        """End all processes that this deployment started."""
+    def stop(self, keep_logs: Path | None = None) -> None:
+        """End all processes that this deployment started; keep their logs if a folder is given."""
         for process in self._started:
             if process.poll() is None:
                 process.kill()
                 process.wait(STOP_TIMEOUT_S)
+        if keep_logs is not None:
+            shutil.copytree(self._folder.name, keep_logs, dirs_exist_ok=True)
         self._folder.cleanup()
 
     def _knows_all(self, node: str) -> bool:
@@ -180,17 +195,28 @@
         state = self.dump(node)
         return len(state["upstreams"]) == len(self.engines) and bool(state["order_holder"])
 
-    def _state(self, engine: str) -> dict[str, Any]:
+    def state_of(self, engine: str) -> dict[str, Any]:
+        """Return what an engine or a plain service ran."""
         found: dict[str, Any] = json.loads(call(self.engines[engine], "GET", "/test/runs")[2])
         return found
 
-    def _run(self, name: str, module: str, *arguments: str) -> None:
-        command = [sys.executable, "-m", module, *arguments]
-        started = subprocess.Popen(
-            command, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
-        )
+    def _spawn(
+        self,
+        name: str,
+        *arguments: str,
+        environment: dict[str, str] | None = None,
+        log_is_read: bool = True,
+    ) -> None:
+        with (Path(self._folder.name) / f"{name}.log").open("ab") as log:
+            started = subprocess.Popen(
+                [sys.executable, *arguments],
+                cwd=ROOT,
+                env={**os.environ, **(environment or {})},
+                stdout=log if log_is_read else subprocess.PIPE,
+                stderr=log,
+            )
         self._started.append(started)
-        self._processes[name] = started
+        self.processes[name] = started
 
 
 def standard_routes() -> list[dict[str, Any]]:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,11 +15,9 @@
 
 import typer
 
-from local.platform_deployment import call
 from soak.callers import Caller
 from soak.faulty_link import LinkMode
 from soak.fleet import SoakFleet
-from soak.fleet import now
 from soak.promises import Evidence
 from soak.promises import Run
 from soak.promises import find_broken
@@ -50,7 +48,7 @@
 
     def run(self, seconds: float) -> Evidence:
         """Inject the faults, wait until they and the callers are done, and return what was seen."""
-        started = now()
+        started = time.time()
         threads = [threading.Thread(target=self._watch_versions, daemon=True)]
         for caller in self._callers:
             caller.start()
@@ -74,12 +72,14 @@
             runs=self._read_runs(),
             faults=self._faults,
             versions=self._versions,
-            overcommitted=[n for n in self._fleet.engines if self._overcommitted(n)],
+            overcommitted=[
+                n for n in self._fleet.engines if self._fleet.state_of(n)["overcommitted"]
+            ],
             ended_badly=self._ended_badly,
         )
 
     def _inject(self, fault: Fault) -> None:
-        time.sleep(max(0.0, fault.at - now()))
+        time.sleep(max(0.0, fault.at - time.time()))
         kind, target = fault.kind, fault.target
         if kind in LINK_MODES:
             self._fleet.links.set_mode(self._fleet.link_of(target), LINK_MODES[kind])
@@ -93,9 +93,9 @@
             time.sleep(fault.for_s)
             self._fleet.signal(name, signal.SIGCONT)
         elif kind == "store_down":
-            call(self._fleet.store, "POST", "/test/mode", {"down": True})
+            self._fleet.set_store_down(True)
             time.sleep(fault.for_s)
-            call(self._fleet.store, "POST", "/test/mode", {"down": False})
+            self._fleet.set_store_down(False)
         elif kind == "configuration":
             self._fleet.configure()
         elif kind == "drain":
@@ -104,9 +104,8 @@
             self._end_process(kind, target)
 
     def _drain(self, fault: Fault) -> None:
-        port = self._fleet.engines[fault.target]
         try:
-            call(port, "POST", "/test/fault", {"kind": "drain", "count": 0})
+            self._fleet.strike(fault.target, "drain", 0)
         except OSError:
             return
         time.sleep(fault.for_s)
@@ -129,7 +128,7 @@
             for node in self._fleet.fronts:
                 process = self._fleet.processes[node].pid
                 try:
-                    version = self._fleet.version_of(node)
+                    version = self._fleet.dump(node)["configuration_version"]
                 except (OSError, ValueError, KeyError):
                     continue
                 if self._fleet.processes[node].pid == process:
@@ -138,16 +137,13 @@
 
     def _read_runs(self) -> list[Run]:
         runs = []
-        for name in (*self._fleet.engines, *self._fleet.services):
+        for name in self._fleet.engines:
             for line in self._fleet.read_log(name).splitlines():
                 words = line.split()
                 if len(words) == 3 and words[0] == "run":
                     runs.append(Run(upstream=name, identity=words[1], at=float(words[2])))
         return runs
 
-    def _overcommitted(self, name: str) -> bool:
-        return bool(self._fleet.state_of(name)["overcommitted"])
-
 
 def run_soak(
     seed: Annotated[int, typer.Option(help="Draws faults and callers.")] = 1,
@@ -159,8 +155,7 @@
 ) -> None:
     """Run the programs under faults and hold what was seen against the promises."""
     fleet = SoakFleet(first_port=first_port, nodes=nodes)
-    upstreams = [*fleet.engines, *fleet.services]
-    faults = draw_faults(seed, minutes * 60.0, list(fleet.fronts), upstreams)
+    faults = draw_faults(seed, minutes * 60.0, list(fleet.fronts), list(fleet.engines))
     threads = [
         Caller(fleet=fleet, draw=random.Random(f"{seed}/{number}")) for number in range(callers)
     ]
