Share what stood twice, and remove what nothing reads

Found in reading the whole change; behaviour is the same. - the two pages of the system's own addresses derive from one base, own_page.py; - statsd goes through tasks/metrics.py, as in the entry process, in place of a second client (one datagram a metric instead of one a second; names and values are the same, seen on a socket); - an upstream filters its peers' words in one place, and works out its rate once for each look at the tokens ahead, not once for each peer; - the order task looks up a service's upstreams by the index that requests use; - an order tells its item and whether it begins a load of the weight store; two constants of one meaning are one; - unread: counts of loads and opened connections, a pool's fresh and close, a view's stop, a random draw.

--- a/src/cactusshunt/configuration/platform_view.py
+++ b/src/cactusshunt/configuration/platform_view.py
@@ -70,18 +70,13 @@
         self._count_vms = count_vms
         self._revisions: dict[str, int] = {}
         self._revision = 0
-        self._stopped = False
         self._random = random.Random()
 
-    def stop(self) -> None:
-        """Make no further call."""
-        self._stopped = True
-
     async def run(self) -> None:
-        """Follow the store until stopped."""
+        """Follow the store for as long as the process runs."""
         failures = 0
         complete = False
-        while not self._stopped:
+        while True:
             try:
                 if complete:
                     await self._wait_for_changes()
--- a/src/cactusshunt/http1/connection_pool.py
+++ b/src/cactusshunt/http1/connection_pool.py
@@ -29,14 +29,12 @@
         self._reactor = reactor
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[Address, list[UpstreamConnection]] = defaultdict(list)
-        self.opened = 0
 
-    async def acquire(self, address: Address, *, fresh: bool = False) -> UpstreamConnection:
+    async def acquire(self, address: Address) -> UpstreamConnection:
         """Return an idle or a new connection; raises ``UpstreamNotReachedError``."""
-        if not fresh:
-            connection = self._take_idle(address)
-            if connection is not None:
-                return connection
+        connection = self._take_idle(address)
+        if connection is not None:
+            return connection
         try:
             return await self._connect(address)
         except Exception as error:
@@ -73,13 +71,7 @@
             else:
                 del self._idle[address]
 
-    def close(self) -> None:
-        """Close all idle connections."""
-        for address in list(self._idle):
-            self.forget(address)
-
     async def _connect(self, address: Address) -> UpstreamConnection:
-        self.opened += 1
         endpoint = TCP4ClientEndpoint(
             self._reactor, address[0], address[1], timeout=self._connect_timeout_s
         )
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -284,7 +284,6 @@
     def _keep_house(self) -> None:
         self._pool.close_expired()
         self._order_pool.close_expired()
-        self._telemetry.flush()
         if self._settings_state() != self._settings_seen:
             self.reload()
 
--- /dev/null
+++ b/src/cactusshunt/own_page.py
@@ -0,0 +1,32 @@
+"""Part that the system's own addresses have in common: small requests, answered at once."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cactusshunt.http1.caller_connection import ReadingLimits
+
+if TYPE_CHECKING:
+    from cactusshunt.http1.caller_connection import CallerConnection
+
+LIMITS = ReadingLimits(
+    header_bytes=8_192, body_bytes=1_024, header_timeout_s=2.0, idle_timeout_s=30.0
+)
+
+
+class OwnPage:
+    """Base of handlers that keep nothing of their connections."""
+
+    def limits(self) -> ReadingLimits:
+        """Return what may be sent."""
+        return LIMITS
+
+    def stopping(self) -> bool:
+        """Keep connections; the process ends them."""
+        return False
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Nothing is kept."""
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Nothing is kept."""
--- a/src/cactusshunt/placement/engine_ledger.py
+++ b/src/cactusshunt/placement/engine_ledger.py
@@ -19,7 +19,6 @@
 UNLOAD_S = 0.1  # usual time of an unload that waits for no request
 ASK_AGAIN_S = 0.05  # between two tries of an order while the one before is under way
 ASK_FOR_S = 0.6  # after which an order under way is followed by reports instead
-SOON_S = 0.05  # told of what is late; its end is asked for that often
 LATE_S = 1.0  # by which a load may be late before it is no longer expected
 RESERVATION_S = 6.0  # an unload waits for the runs of its model, streams of seconds
 ADAPTER_READY_S = 0.02  # twice the usual time of an adapter's load
@@ -131,7 +130,7 @@
             adapters = self.models.setdefault(order.model, set())
             if order.load:
                 adapters.add(order.adapter)
-                self.coming[f"{order.model}/{order.adapter}"] = now + ADAPTER_READY_S
+                self.coming[order.item] = now + ADAPTER_READY_S
             else:
                 adapters.discard(order.adapter)
             return
@@ -183,7 +182,7 @@
             for item, at in (self.planned | self.coming).items()
             if at > now or ("/" not in item and at > now - LATE_S)
         }
-        return {item: max(SOON_S, left) for item, left in found.items()}
+        return {item: max(ASK_AGAIN_S, left) for item, left in found.items()}
 
     def take_unanswered(self, now: float) -> None:
         """Note that an order got no answer: it may be carried out, also later.
--- a/src/cactusshunt/placement/fleet_state.py
+++ b/src/cactusshunt/placement/fleet_state.py
@@ -125,6 +125,16 @@
     makes_room_for: str | None = None
     reason: str = ""
 
+    @property
+    def item(self) -> str:
+        """Return ``model`` or ``model/adapter``."""
+        return f"{self.model}/{self.adapter}" if self.adapter else self.model
+
+    @property
+    def loads_from_store(self) -> bool:
+        """Tell whether it begins a load that counts at the weight store."""
+        return self.load and not self.adapter and self.source is WeightSource.STORE
+
 
 @dataclass(frozen=True, kw_only=True)
 class PlannedArrival:
--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -9,12 +9,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from cactusshunt.placement.engine_ledger import UNLOAD_S
 from cactusshunt.placement.fleet_state import ModelPlan
 from cactusshunt.placement.fleet_state import PlannedArrival
 from cactusshunt.placement.fleet_state import PlannedOrder
 from cactusshunt.placement.fleet_state import WeightSource
 from cactusshunt.placement.model_worth import NEWCOMER_S
-from cactusshunt.placement.model_worth import UNLOAD_S
 from cactusshunt.placement.model_worth import ModelWorth
 from cactusshunt.placement.replica_strain import ReplicaTally
 
@@ -255,15 +255,13 @@
 
     def _order(self, engine: EngineState, model: str, victim: str | None, reason: str) -> None:
         self.expected.add(engine, model)
+        source = engine.source_of(model)
+        if source is WeightSource.STORE:
+            self._loads_left -= 1
         if victim is not None:
-            if engine.source_of(model) is WeightSource.STORE:
-                self._loads_left -= 1
             self._drop(engine, victim, model, f"{reason}: {model}")
             return
         del self._engines[engine.name]
-        source = engine.source_of(model)
-        if source is WeightSource.STORE:
-            self._loads_left -= 1
         self.orders.append(
             PlannedOrder(
                 engine=engine.name,
--- a/src/cactusshunt/placement/model_worth.py
+++ b/src/cactusshunt/placement/model_worth.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from cactusshunt.placement.engine_ledger import UNLOAD_S
 from cactusshunt.placement.fleet_state import Demand
 from cactusshunt.placement.replica_strain import ReplicaTally
 from cactusshunt.placement.replica_strain import strain
@@ -32,7 +33,6 @@
 FRESH_VALUE = 0.6
 VICTIM_S = 4.0  # seconds of load time that one request a second is worth
 RUN_S = 2.0  # a usual stream, for the end of which the unload of its model waits
-UNLOAD_S = 0.1  # usual time from the order to the answer that room was made
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -13,7 +13,6 @@
 from cactusshunt.placement.adapter_plan import plan_adapters
 from cactusshunt.placement.demand_board import DemandBoard
 from cactusshunt.placement.engine_ledger import EngineLedger
-from cactusshunt.placement.fleet_state import WeightSource
 from cactusshunt.placement.fleet_view import describe_fleet
 from cactusshunt.placement.load_rate import LoadRate
 from cactusshunt.placement.model_plan import plan_models
@@ -74,7 +73,6 @@
         self._words = 0
         self._plan_wanted = True
         self.orders_given = 0
-        self.store_loads = 0
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Take the services whose upstreams hold models."""
@@ -93,7 +91,7 @@
         due = self._plan_wanted or now >= self._planned_at + PLAN_S
         due = due and now >= self._planned_at + SHORTEST_PLAN_S and self._may_order(now)
         for service in self._services:
-            upstreams = [u for u in self._directory.all() if u.entry.service == service.name]
+            upstreams = self._directory.of_service(service.name)
             self._follow(upstreams, now)
             if due and service.engine is not None:
                 self._plan(service, service.engine, upstreams, tenure.token, now)
@@ -210,9 +208,8 @@
         orders += plan_adapters(state, taken)
         by_name = {upstream.name: upstream for upstream in upstreams}
         for order in orders:
-            if order.load and not order.adapter and order.source is WeightSource.STORE:
+            if order.loads_from_store:
                 rate.spend()
-                self.store_loads += 1
             self._ledgers[order.engine].calling = True
             load_s = 0.0
             arriving = order.model if order.load else order.makes_room_for
@@ -248,7 +245,7 @@
             "order",
             upstream=order.engine,
             load=order.load,
-            item=f"{order.model}/{order.adapter}" if order.adapter else order.model,
+            item=order.item,
             expected=order.expected,
             source=order.source.value,
             reason=order.reason,
@@ -262,9 +259,8 @@
             self._announce(now)
             return
         if outcome == OrderAnswer.CONFLICT.name:
-            if order.source is WeightSource.STORE and order.load and not order.adapter:
+            if order.loads_from_store:
                 self._rates[upstream.entry.service].give_back()
-                self.store_loads -= 1
             ledger.take_conflict(now)
             return
         if outcome == UNKNOWN:
--- a/src/cactusshunt/ready_page.py
+++ b/src/cactusshunt/ready_page.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from cactusshunt.http1.caller_connection import ReadingLimits
+from cactusshunt.own_page import OwnPage
 from cactusshunt.platform.headers import READY_PATH
 
 if TYPE_CHECKING:
@@ -16,34 +16,17 @@
     from cactusshunt.http1.caller_connection import CallerConnection
     from cactusshunt.http1.caller_connection import ReceivedRequest
 
-LIMITS = ReadingLimits(
-    header_bytes=8_192, body_bytes=1_024, header_timeout_s=2.0, idle_timeout_s=30.0
-)
 DUMP_PATH = b"/v1/dump"
 JSON = [(b"Content-Type", b"application/json")]
 
 
-class ReadyPage:
+class ReadyPage(OwnPage):
     """Handler of the readiness address."""
 
     def __init__(self, *, is_ready: Callable[[], bool], dump: Callable[[], dict[str, Any]]) -> None:
         self._is_ready = is_ready
         self._dump = dump
 
-    def limits(self) -> ReadingLimits:
-        """Return what may be sent."""
-        return LIMITS
-
-    def stopping(self) -> bool:
-        """Keep connections; the process ends them."""
-        return False
-
-    def opened(self, connection: CallerConnection) -> None:
-        """Nothing is kept."""
-
-    def closed(self, connection: CallerConnection) -> None:
-        """Nothing is kept."""
-
     def handle(self, request: ReceivedRequest, connection: CallerConnection) -> None:
         """Answer 200 or 503, or the state of the process."""
         path = request.target.partition(b"?")[0]
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import random
-
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -17,7 +15,6 @@
 from cactusshunt.requests.outcome import Outcome
 from cactusshunt.requests.outcome import decide_next
 from cactusshunt.requests.outcome import may_have_run
-from cactusshunt.requests.outcome import was_sent
 from cactusshunt.requests.request_log import count_sends
 from cactusshunt.requests.request_log import log_answer
 from cactusshunt.requests.request_log import log_attempt
@@ -61,7 +58,6 @@
         self._directory = directory
         self._picker = picker
         self._allowance = allowance
-        self._random = random.Random()
 
     async def run(self, job: Job) -> None:
         """Answer a request, whatever happens to it."""
@@ -101,7 +97,7 @@
 
     def _resend_is_barred(self, job: Job) -> bool:
         """Tell whether a request that was sent before may not be sent once more."""
-        if not any(was_sent(outcome) for outcome in job.outcomes):
+        if not count_sends(job):
             return False
         return not self._allowance.spend(job.service, self._now())
 
--- a/src/cactusshunt/routing/directory.py
+++ b/src/cactusshunt/routing/directory.py
@@ -42,6 +42,10 @@
         """Return all upstreams whose entry stands."""
         return [found for found in self._upstreams.values() if found.removed_at is None]
 
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service whose entry stands."""
+        return [found for found in self._by_service[service].values() if found.removed_at is None]
+
     def find(self, name: str) -> Upstream | None:
         """Return an upstream by name."""
         return self._upstreams.get(name)
--- a/src/cactusshunt/routing/upstream.py
+++ b/src/cactusshunt/routing/upstream.py
@@ -94,8 +94,7 @@
 
     def long_streams(self, now: float) -> int:
         """Return the long streams of all VMs, as last heard."""
-        heard = (w.long_streams for at, w in self._peer_work.values() if now - at < PEER_WORD_S)
-        return self._long_streams + sum(heard)
+        return self._long_streams + sum(work.long_streams for _, work in self._heard(now))
 
     @property
     def rate(self) -> float:
@@ -154,19 +153,15 @@
         for attempt in self._waiting:
             if attempt.priority <= priority:
                 total += attempt.tokens
-        for heard_at, work in self._peer_work.values():
-            if now - heard_at < PEER_WORD_S:
-                tokens = sum(count for rank, count in work.pending.items() if rank <= priority)
-                total += max(0.0, tokens - (now - heard_at) * 1000.0 * self.rate)
+        rate = self.rate
+        for heard_at, work in self._heard(now):
+            tokens = sum(count for rank, count in work.pending.items() if rank <= priority)
+            total += max(0.0, tokens - (now - heard_at) * 1000.0 * rate)
         return total
 
     def total_running(self, now: float) -> float:
         """Return the requests of all VMs, as last heard or as the upstream said."""
-        total = self._running + sum(
-            work.running
-            for heard_at, work in self._peer_work.values()
-            if now - heard_at < PEER_WORD_S
-        )
+        total = self._running + sum(work.running for _, work in self._heard(now))
         if self._reported is not None and now - self._reported[0] < REPORT_WORD_S:
             return max(total, self._reported[1] + self._reported[2])
         return total
@@ -189,3 +184,7 @@
         self.cache.clear()
         self.suspicion = Suspicion()
         self._own_rate = None
+
+    def _heard(self, now: float) -> list[tuple[float, EngineWork]]:
+        """Return the peers' words that still count, with the time of each."""
+        return [word for word in self._peer_work.values() if now - word[0] < PEER_WORD_S]
--- a/src/cactusshunt/telemetry/event_metrics.py
+++ b/src/cactusshunt/telemetry/event_metrics.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
 
-    from cactusshunt.telemetry.statsd_sender import StatsdSender
+    from cactusshunt.tasks.metrics import Metrics
 
 PREFIX = "cactusshunt"
 MOST_ROUTES = 64  # named one by one; a configuration may have thousands
@@ -23,7 +23,7 @@
 class EventMetrics:
     """Observer of the log; ``take`` is called for every event, written or not."""
 
-    def __init__(self, *, registry: CollectorRegistry, statsd: StatsdSender | None = None) -> None:
+    def __init__(self, *, registry: CollectorRegistry, statsd: Metrics | None = None) -> None:
         self._statsd = statsd
         self._routes: set[str] = set()
         self._events = _counter(registry, "events", "Events of the log by kind.", "event")
@@ -79,7 +79,7 @@
         _observe_ms(self._queue.labels(kind), fields["queued_ms"])
         _observe_ms(self._gaps, fields["longest_gap_ms"])
         if self._statsd is not None and fields["first_after_ms"] is not None:
-            self._statsd.time(f"first_byte.{kind}", fields["first_after_ms"])
+            self._statsd.time(f"first_byte.{kind}", fields["first_after_ms"] / 1000.0)
 
     def _take_failed(self, fields: dict[str, Any]) -> None:
         self._count_request(fields, "failed" if fields["ran"] else "refused", fields["reason"])
--- a/src/cactusshunt/telemetry/metrics_page.py
+++ b/src/cactusshunt/telemetry/metrics_page.py
@@ -7,38 +7,23 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 from prometheus_client import generate_latest
 
-from cactusshunt.ready_page import LIMITS
+from cactusshunt.own_page import OwnPage
 
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
 
     from cactusshunt.http1.caller_connection import CallerConnection
-    from cactusshunt.http1.caller_connection import ReadingLimits
     from cactusshunt.http1.caller_connection import ReceivedRequest
 
 METRICS_PATH = b"/metrics"
 
 
-class MetricsPage:
+class MetricsPage(OwnPage):
     """Handler of the metrics address."""
 
     def __init__(self, *, registry: CollectorRegistry) -> None:
         self._registry = registry
 
-    def limits(self) -> ReadingLimits:
-        """Return what may be sent."""
-        return LIMITS
-
-    def stopping(self) -> bool:
-        """Keep connections; the process ends them."""
-        return False
-
-    def opened(self, connection: CallerConnection) -> None:
-        """Nothing is kept."""
-
-    def closed(self, connection: CallerConnection) -> None:
-        """Nothing is kept."""
-
     def handle(self, request: ReceivedRequest, connection: CallerConnection) -> None:
         """Answer with all metrics as text."""
         if request.target.partition(b"?")[0] != METRICS_PATH:
--- a/src/cactusshunt/telemetry/node_telemetry.py
+++ b/src/cactusshunt/telemetry/node_telemetry.py
@@ -8,10 +8,11 @@
 from prometheus_client import ProcessCollector
 
 from cactusshunt.node_log import event_log
+from cactusshunt.platform.boot import split_address
+from cactusshunt.tasks.metrics import Metrics
 from cactusshunt.telemetry.event_metrics import EventMetrics
 from cactusshunt.telemetry.gauges import Gauges
 from cactusshunt.telemetry.metrics_page import MetricsPage
-from cactusshunt.telemetry.statsd_sender import StatsdSender
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,12 +28,13 @@
         registry = CollectorRegistry()
         ProcessCollector(registry=registry)
         Gauges(registry=registry, read=read_gauges)
-        self._statsd = StatsdSender.from_address(statsd)
-        observer = EventMetrics(registry=registry, statsd=self._statsd)
+        observer = EventMetrics(registry=registry, statsd=_make_statsd(statsd))
         event_log.observers.append(observer.take)
         self.page = MetricsPage(registry=registry)
 
-    def flush(self) -> None:
-        """Send what statsd is owed."""
-        if self._statsd is not None:
-            self._statsd.flush()
+
+def _make_statsd(address: str) -> Metrics | None:
+    if not address:
+        return None
+    host, port = split_address(address)
+    return Metrics(address=host, port=port, role="node")
