Log why a requested model is placed nowhere, and report it by model

Cause: no log line told whether the order holder knew of a model that was never served, nor why its plans left it out; the hypotheses of the incident could not be told apart. Change: plans return the models and adapters in demand that they place nowhere, with a reason; the order holder logs at most a line a second and reason (items_unplaced, at most 400 names). order names what an unload makes room for, order_done the loaded model. report lists what was requested and never answered by stage, explain prints the plans that left a request's model out.

--- a/src/cactusshunt/console/commands/report.py
+++ b/src/cactusshunt/console/commands/report.py
@@ -7,6 +7,8 @@
 
 import typer
 
+from cactusshunt.console.item_report import collect_item_histories
+from cactusshunt.console.item_report import format_never_answered
 from cactusshunt.console.log_chart import draw_chart
 from cactusshunt.console.log_lines import read_log_lines
 from cactusshunt.console.log_report import format_report
@@ -24,7 +26,7 @@
     interval: Annotated[float, typer.Option(help="Seconds per row of the report.", min=0.1)] = 2.0,
     image: Annotated[Path | None, typer.Option(help="SVG or PNG file to write.")] = None,
 ) -> None:
-    """Print requests, loads and state changes by interval, and why requests failed."""
+    """Print requests, loads and state changes by interval, and what failed or was never served."""
     if image is not None and image.suffix not in IMAGE_SUFFIXES:
         typer.echo(f"{image}: use a file name that ends with .svg or .png", err=True)
         raise typer.Exit(2)
@@ -43,6 +45,9 @@
     report = summarize_logs(lines, interval)
     for row in format_report(report):
         typer.echo(row)
+    typer.echo("")
+    for row in format_never_answered(collect_item_histories(lines)):
+        typer.echo(row)
     if image is None:
         return
     try:
--- a/src/cactusshunt/console/request_timeline.py
+++ b/src/cactusshunt/console/request_timeline.py
@@ -22,7 +22,7 @@
     "upstream_restarted",
     "upstream_suspected",
 )
-ORDER_EVENTS = ("order", "order_done")
+ORDER_EVENTS = ("order", "order_done", "items_unplaced")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -57,11 +57,19 @@
         ):
             earlier_events[(line["event"], str(line.get("upstream", "")))] = line
         elif line["at"] <= own[-1]["at"] + EVENTS_AFTER_S:
-            timeline.append(line)
+            timeline.append(_keep_items_of(line, models))
     kept = [line for line in earlier_events.values() if line["event"] not in ORDER_EVENTS]
     return RequestTimeline(earlier_events=sorted(kept, key=lambda line: line["at"]), lines=timeline)
 
 
+def _keep_items_of(line: LogLine, models: set[str]) -> LogLine:
+    """Return the line without items of other models, of which it may name hundreds."""
+    if not isinstance(line.get("items"), list):
+        return line
+    kept = [item for item in line["items"] if str(item).partition("/")[0] in models]
+    return {**line, "items": kept}
+
+
 def _is_relevant(
     line: LogLine, vms: set[str | None], upstreams: set[str], models: set[str]
 ) -> bool:
@@ -69,8 +77,10 @@
     if event in ORDER_RIGHT_EVENTS:
         return True
     if event in ORDER_EVENTS:
-        item = str(line.get("item", "")).partition("/")[0]
-        return item in models or any(model in str(line.get("reason", "")) for model in models)
+        items = {str(line.get("item", "")), *map(str, line.get("items") or ())}
+        if any(item.partition("/")[0] in models for item in items):
+            return True
+        return any(model in str(line.get("reason", "")) for model in models)
     if line.get("vm") not in vms:
         return False
     return event in VM_EVENTS or (event in UPSTREAM_EVENTS and line.get("upstream") in upstreams)
--- a/src/cactusshunt/placement/adapter_plan.py
+++ b/src/cactusshunt/placement/adapter_plan.py
@@ -8,8 +8,10 @@
 
 from typing import TYPE_CHECKING
 
+from cactusshunt.placement.fleet_state import AdapterPlan
 from cactusshunt.placement.fleet_state import Demand
 from cactusshunt.placement.fleet_state import PlannedOrder
+from cactusshunt.placement.fleet_state import UnplacedReason
 
 if TYPE_CHECKING:
     from cactusshunt.placement.fleet_state import EngineState
@@ -20,7 +22,7 @@
 SPARE_ADAPTER_SLOTS_PER_ENGINE = 1  # kept so that a requested adapter can load at once
 
 
-def plan_adapters(state: FleetState, engines_with_orders: frozenset[str]) -> list[PlannedOrder]:
+def plan_adapters(state: FleetState, engines_with_orders: frozenset[str]) -> AdapterPlan:
     """Return adapter orders, at most one for each engine without a model order in this plan.
 
     ``engines_with_orders`` names the engines that have one. An engine with reserved memory may not
@@ -33,12 +35,15 @@
         and not engine.busy
         and engine.reserved_for is None
     }
-    orders = _plan_requested(state, engines)
+    unplaced: dict[str, UnplacedReason] = {}
+    orders = _plan_requested(state, engines, unplaced)
     orders += _plan_prefetches(state, engines)
-    return orders
+    return AdapterPlan(orders=orders, unplaced=unplaced)
 
 
-def _plan_requested(state: FleetState, engines: dict[str, EngineState]) -> list[PlannedOrder]:
+def _plan_requested(
+    state: FleetState, engines: dict[str, EngineState], unplaced: dict[str, UnplacedReason]
+) -> list[PlannedOrder]:
     """Place adapters in demand; removes the engines used from ``engines``."""
     orders = []
     wanted = sorted(
@@ -57,15 +62,30 @@
             if _lacks(engine, model, adapter) and (may_unload or not _is_full(engine))
         ]
         if not hosts:
+            if not holders:
+                unplaced[f"{model}/{adapter}"] = _explain_missing_host(state, engines, model)
             continue
         engine = min(hosts, key=lambda host: (_is_full(host), host.running, host.name))
         order = _plan_order(state, engine, model, adapter)
         if order is not None:
             orders.append(order)
             del engines[engine.name]
+        elif not holders:
+            unplaced[f"{model}/{adapter}"] = UnplacedReason.ADAPTER_SLOTS_IN_USE
     return orders
 
 
+def _explain_missing_host(
+    state: FleetState, engines: dict[str, EngineState], model: str
+) -> UnplacedReason:
+    """Return why no engine can load an adapter of a model now."""
+    if not any(model in engine.models for engine in state.engines):
+        return UnplacedReason.MODEL_NOT_LOADED
+    if not any(model in engine.models for engine in engines.values()):
+        return UnplacedReason.MODEL_ENGINES_BUSY
+    return UnplacedReason.ADAPTER_SLOTS_IN_USE
+
+
 def _plan_prefetches(state: FleetState, engines: dict[str, EngineState]) -> list[PlannedOrder]:
     """Fill free slots with adapters that no engine holds, the most often requested ones first."""
     held = {
@@ -139,6 +159,7 @@
         model=eviction_candidate[0],
         adapter=eviction_candidate[1],
         expected=engine.sequence,
+        frees_memory_for=f"{model}/{adapter}",
         reason=f"slot for {model}/{adapter}",
     )
 
--- a/src/cactusshunt/placement/fleet_state.py
+++ b/src/cactusshunt/placement/fleet_state.py
@@ -120,7 +120,7 @@
 class PlannedOrder:
     """One order for one engine, valid only while the engine has accepted ``expected`` orders.
 
-    ``frees_memory_for`` names the model whose load is to follow an unload, if any.
+    ``frees_memory_for`` names the model, or ``model/adapter``, whose load is to follow an unload.
     """
 
     engine: str
@@ -143,6 +143,19 @@
         return self.load and not self.adapter and self.source is WeightSource.STORE
 
 
+class UnplacedReason(enum.Enum):
+    """Why a plan contains no load of a model or adapter that is in demand and that none holds."""
+
+    PLAN_LIMIT = "plan limit"
+    GAIN_TOO_SMALL = "gain too small"
+    EVICTION_COSTS_MORE = "eviction costs more"
+    NO_ENGINE_TAKES_ORDERS = "no engine takes orders"
+    LATER = "engine or weight store busy"
+    MODEL_NOT_LOADED = "model not loaded"
+    MODEL_ENGINES_BUSY = "engines of the model busy"
+    ADAPTER_SLOTS_IN_USE = "adapter slots in use"
+
+
 @dataclass(frozen=True, kw_only=True)
 class PlannedArrival:
     """A load to be ordered once its engine is free; ``ready_in_s`` is when it should be done."""
@@ -154,7 +167,16 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ModelPlan:
-    """Orders to be sent now, and loads to be ordered later."""
+    """Orders to be sent now, loads to be ordered later, and models in demand with neither."""
 
     orders: list[PlannedOrder]
     arrivals: list[PlannedArrival]
+    unplaced: dict[str, UnplacedReason] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True)
+class AdapterPlan:
+    """Orders to be sent now, and adapters in demand without one, as ``model/adapter``."""
+
+    orders: list[PlannedOrder]
+    unplaced: dict[str, UnplacedReason] = field(default_factory=dict)
--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -14,6 +14,7 @@
 from cactusshunt.placement.fleet_state import ModelPlan
 from cactusshunt.placement.fleet_state import PlannedArrival
 from cactusshunt.placement.fleet_state import PlannedOrder
+from cactusshunt.placement.fleet_state import UnplacedReason
 from cactusshunt.placement.fleet_state import WeightSource
 from cactusshunt.placement.late_fraction import ReplicaTally
 from cactusshunt.placement.replica_value import STARTUP_DECAY_S
@@ -55,10 +56,13 @@
     """Return the next orders, at most one for each engine that is not busy, and later loads."""
     planner = _Planner(state)
     planner.order_reserved_loads()
-    for needed in planner.find_replica_requests()[:MAX_REPLICA_REQUESTS]:
-        planner.place_replica(needed)
+    needed = planner.find_replica_requests()
+    for request in needed[:MAX_REPLICA_REQUESTS]:
+        planner.place_replica(request)
+    for request in needed[MAX_REPLICA_REQUESTS:]:
+        planner.record_unplaced(request, UnplacedReason.PLAN_LIMIT)
     planner.keep_spare_model_slots()
-    return ModelPlan(orders=planner.orders, arrivals=planner.arrivals)
+    return ModelPlan(orders=planner.orders, arrivals=planner.arrivals, unplaced=planner.unplaced)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -90,6 +94,7 @@
         self.orders: list[PlannedOrder] = []
         self._engines = {engine.name: engine for engine in state.engines if not engine.busy}
         self.arrivals: list[PlannedArrival] = []
+        self.unplaced: dict[str, UnplacedReason] = {}
         self._available_in_s = {
             engine.name: engine.free_in_s if engine.busy else 0.0
             for engine in state.engines
@@ -224,6 +229,15 @@
             if (candidate := self._make_load_candidate(engine, needed)) is not None
         ]
         if not candidates:
+            takes_orders = any(wait_s is not None for wait_s in self._available_in_s.values())
+            self.record_unplaced(
+                needed,
+                (
+                    UnplacedReason.EVICTION_COSTS_MORE
+                    if takes_orders
+                    else UnplacedReason.NO_ENGINE_TAKES_ORDERS
+                ),
+            )
             return
         best = min(candidates, key=lambda candidate: candidate.cost_s)
         wait_s = self._available_in_s[best.engine.name] or 0.0
@@ -235,6 +249,7 @@
                 "absent" if needed.absent else "busy",
             )
         elif needed.absent:
+            self.record_unplaced(needed, UnplacedReason.LATER)
             self.arrivals.append(
                 PlannedArrival(
                     engine=best.engine.name,
@@ -244,6 +259,11 @@
             )
         self._available_in_s[best.engine.name] = wait_s + best.duration_s
 
+    def record_unplaced(self, needed: _ReplicaRequest, reason: UnplacedReason) -> None:
+        """Record why no load was ordered, if no engine holds the model."""
+        if needed.absent:
+            self.unplaced[needed.model] = reason
+
     def _make_load_candidate(
         self, engine: EngineState, needed: _ReplicaRequest
     ) -> _LoadCandidate | None:
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -16,6 +16,7 @@
 from cactusshunt.placement.fleet_view import describe_fleet
 from cactusshunt.placement.load_rate import LoadRateLimiter
 from cactusshunt.placement.model_plan import plan_models
+from cactusshunt.placement.unplaced_items import UnplacedItems
 from cactusshunt.platform.engine_calls import OrderAnswer
 from cactusshunt.tasks.periodic import start_coroutine
 
@@ -72,6 +73,7 @@
         self._token = 0
         self.fleet_demand = FleetDemand()
         self._planned_at = 0.0
+        self._unplaced = UnplacedItems()
         self._update_number = 0
         self._plan_requested = True
         self.orders_given = 0
@@ -150,7 +152,7 @@
         now = self._now()
         if outcome == OrderAnswer.DONE.name:
             ledger.record_loaded()
-            self._log_order_done(ledger, now)
+            self._log_order_done(ledger, now, model)
         elif outcome == OrderAnswer.CONFLICT.name:
             ledger.record_conflict(now)
         else:
@@ -169,20 +171,22 @@
         if report is None:
             ledger.report_due_at = now + FAILED_CALL_PAUSE_S
             return
+        loading = ledger.loading
         ledger.apply_report(report, now)
         if not ledger.busy:
-            self._log_order_done(ledger, now)
+            self._log_order_done(ledger, now, loading if loading in ledger.models else None)
         if ledger.can_take_order(now):
             self.plan_soon()
             self.tick()
 
-    def _log_order_done(self, ledger: EngineLedger, now: float) -> None:
+    def _log_order_done(self, ledger: EngineLedger, now: float, loaded: str | None) -> None:
         started_at, ledger.busy_since = ledger.busy_since, None
         if started_at is None:
             return
         log_event(
             "order_done",
             upstream=ledger.name,
+            item=loaded,
             took_ms=int((now - started_at) * 1000),
             expected_ms=int((ledger.busy_until - started_at) * 1000),
             under_way=sum(1 for other in self._ledgers.values() if other.busy),
@@ -211,7 +215,9 @@
         orders = plan.orders
         self._record_arrivals(plan.arrivals, upstreams, now)
         engines_with_orders = frozenset(order.engine for order in orders)
-        orders += plan_adapters(state, engines_with_orders)
+        adapter_plan = plan_adapters(state, engines_with_orders)
+        orders += adapter_plan.orders
+        self._unplaced.record(plan.unplaced | adapter_plan.unplaced, now)
         by_name = {upstream.name: upstream for upstream in upstreams}
         for order in orders:
             if order.loads_from_weight_store:
@@ -255,6 +261,7 @@
             expected=order.expected,
             source=order.source.value,
             reason=order.reason,
+            frees_memory_for=order.frees_memory_for,
             outcome=outcome,
         )
         self.plan_soon()
--- a/tests/steps/log_steps.py
+++ b/tests/steps/log_steps.py
@@ -111,6 +111,78 @@
     assert "7 lines were left out" in context.result.output
 
 
+LOAD = {"upstream": "e1", "load": True, "item": "rare"}
+UNLOAD = {"upstream": "e1", "load": False, "item": "rare"}
+ROOM = {"upstream": "e1", "load": False, "item": "old", "frees_memory_for": "rare"}
+TRAILS: dict[str, list[dict[str, Any]]] = {
+    "no other line names it": [],
+    "plans leave it out": [
+        {"event": "items_unplaced", "reason": "plan limit", "items": ["rare", "other"]}
+    ],
+    "the unload before its load is refused": [{"event": "order", "outcome": "CONFLICT", **ROOM}],
+    "it is loaded and unloaded": [
+        {"event": "order", "outcome": "STARTED", **LOAD},
+        {"event": "order_done", "upstream": "e1", "item": "rare"},
+        {"event": "order", "outcome": "STARTED", **UNLOAD},
+    ],
+    "it is loaded": [
+        {"event": "order", "outcome": "STARTED", **LOAD},
+        {"event": "order_done", "upstream": "e1", "item": "rare"},
+    ],
+    "an engine held it and was overloaded": [
+        {"event": "request_failed", "request": "r3", "item": "rare", "reason": "overloaded"}
+    ],
+    "an attempt at an engine ends with NOT_RUN": [
+        {"event": "attempt", "request": "r1", "item": "rare", "outcome": "NOT_RUN"}
+    ],
+}
+
+
+@given("logs in which requests for a model fail and {trail}")
+def step_write_trail(context: Any, trail: str) -> None:
+    directory = Path(tempfile.mkdtemp())
+    failed = {"item": "rare", "reason": "model is not placed", "ran": False}
+    lines = [
+        {"event": "request_queued", "request": "r1", "item": "rare"},
+        {"event": "request_failed", "request": "r1", **failed},
+        *TRAILS[trail],
+        {"event": "request_failed", "request": "r2", **failed},
+        {"event": "request_answered", "request": "r4", "item": "served", "status": 200},
+    ]
+    (directory / "a.log").write_text(
+        "".join(
+            format_event(float(number), "a", line.pop("event"), **line)
+            for number, line in enumerate(dict(line) for line in lines)
+        ),
+        encoding="utf-8",
+    )
+    context.logs = [str(directory / "a.log")]
+
+
+@when("a report is created")
+def step_create_report(context: Any) -> None:
+    run(context, "report", *context.logs)
+
+
+@then('the report lists the model as "{stage}"')
+def step_check_stage(context: Any, stage: str) -> None:
+    output = context.result.output
+    assert "1 of 2 requested models and adapters were never answered" in output, output
+    rows = [row for row in output.splitlines() if row.startswith("  rare ")]
+    assert len(rows) == 1 and stage in rows[0], output
+
+
+@when("the log events of its request are printed")
+def step_explain_first(context: Any) -> None:
+    run(context, "explain", "r1", *context.logs)
+
+
+@then("the plans that left it out are printed without the other items")
+def step_check_unplaced(context: Any) -> None:
+    rows = [row for row in context.result.output.splitlines() if "items_unplaced" in row]
+    assert len(rows) == 1 and "items=['rare']" in rows[0], context.result.output
+
+
 @when("a report is created with {given_input}")
 def step_report_invalid_input(context: Any, given_input: str) -> None:
     empty = context.directory / "empty.log"
--- a/tests/steps/model_plan_steps.py
+++ b/tests/steps/model_plan_steps.py
@@ -240,7 +240,7 @@
     }
     demand[("m0", "a9")] = Demand(tokens_per_ms=1.0, waiting=waiting, last_requested_at=NOW)
     state = FleetState(now=NOW, engines=(context.engine,), facts=FACTS, adapter_demand=demand)
-    return plan_adapters(state, frozenset())
+    return plan_adapters(state, frozenset()).orders
 
 
 @when("a request waits for a ninth adapter")
