Count the bytes that VMs send each other, and time the orders

No line told whether its link was full. Change: peer_traffic, a line every 5 s with the bytes sent by kind of message; the same as a gauge; took_ms in order.

--- a/src/cactusshunt/membership/peer_link.py
+++ b/src/cactusshunt/membership/peer_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
@@ -11,6 +12,9 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from cactusshunt.membership.broadcast import choose_recipients
+from cactusshunt.membership.messages import DemandReport
+from cactusshunt.membership.messages import PlacementUpdate
+from cactusshunt.membership.messages import Status
 from cactusshunt.membership.messages import decode_message
 from cactusshunt.membership.messages import encode_message
 
@@ -19,10 +23,14 @@
     from collections.abc import Iterable
 
     from cactusshunt.membership.messages import Message
-    from cactusshunt.membership.messages import PlacementUpdate
 
 LARGE_FLEET_PEERS = 16  # from this many on, saving traffic between zones outweighs a second hop
 MAX_DATAGRAM_BYTES = 60_000  # below the UDP limit over IPv4
+MESSAGE_NAMES: dict[type[Message], str] = {
+    Status: "status",
+    DemandReport: "demand",
+    PlacementUpdate: "placement",
+}
 
 
 class PeerRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -42,13 +50,17 @@
 
 
 class PeerLink(DatagramProtocol):
-    """Sends messages to registered peers and passes received ones to ``receive``."""
+    """Sends messages to registered peers and passes received ones to ``receive``.
+
+    ``bytes_sent`` counts the bytes of datagrams by kind of message, see ``MESSAGE_NAMES``.
+    """
 
     def __init__(self, *, vm: str, receive: Callable[[Message], None]) -> None:
         self._vm = vm
         self._receive = receive
         self._peers: dict[str, Peer] = {}
         self._broadcasts = 0
+        self.bytes_sent: Counter[str] = Counter()
 
     @property
     def peers(self) -> dict[str, Peer]:
@@ -78,6 +90,7 @@
                 transport.write(data, (peer.record.address, peer.record.port))
             except OSError:
                 continue
+            self.bytes_sent[MESSAGE_NAMES[type(message)]] += len(data)
 
     def broadcast(self, update: PlacementUpdate, own_zone: str) -> None:
         """Send an update to all peers, in a large fleet via one forwarder in each other zone."""
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -4,6 +4,7 @@
 
 import signal
 
+from collections import Counter
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -59,6 +60,7 @@
 ORDER_TICK_INTERVAL_S = 0.05
 HOUSEKEEPING_INTERVAL_S = 1.0
 LOG_FLUSH_INTERVAL_S = 0.1
+PEER_TRAFFIC_LOG_INTERVAL_S = 5.0
 LISTEN_BACKLOG = 512
 
 
@@ -75,6 +77,7 @@
         self._known_file_state = self._read_settings_file_state()
         bounds = settings.bounds
         self._version = 0
+        self._logged_peer_bytes: Counter[str] = Counter()
         self._stopping_since: float | None = None
         self._pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
         self._order_pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
@@ -181,6 +184,7 @@
         self._repeat(DEMAND_INTERVAL_S, self._announcer.send_demand)
         self._repeat(HOUSEKEEPING_INTERVAL_S, self._run_housekeeping)
         self._repeat(LOG_FLUSH_INTERVAL_S, flush_log)
+        self._repeat(PEER_TRAFFIC_LOG_INTERVAL_S, self._log_peer_traffic)
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send new callers here."""
@@ -290,6 +294,15 @@
         if self._read_settings_file_state() != self._known_file_state:
             self.reload()
 
+    def _log_peer_traffic(self) -> None:
+        sent = Counter(self._link.bytes_sent)
+        recent = sent - self._logged_peer_bytes
+        self._logged_peer_bytes = sent
+        if recent:
+            log_event(
+                "peer_traffic", interval_s=PEER_TRAFFIC_LOG_INTERVAL_S, bytes_sent=dict(recent)
+            )
+
     def _read_settings_file_state(self) -> tuple[int, int]:
         try:
             file_status = self._settings_path.stat()
--- a/src/cactusshunt/node_state.py
+++ b/src/cactusshunt/node_state.py
@@ -124,6 +124,12 @@
         yield GaugeReading(
             name="upstreams", text="Upstreams by state.", label="state", values=dict(states)
         )
+        yield GaugeReading(
+            name="peer_bytes_sent",
+            text="Bytes of datagrams sent to other VMs since the start.",
+            label="message",
+            values={name: float(sent) for name, sent in self._link.bytes_sent.items()},
+        )
         yield GaugeReading(
             name="retries_left",
             text="Retries left in the current budget window.",
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -243,6 +243,7 @@
         self, upstream: Upstream, order: PlannedOrder, token: int, load_s: float
     ) -> None:
         ledger = self._ledgers[order.engine]
+        sent_at = self._now()
         outcome = await self._send_order(
             upstream,
             load=order.load,
@@ -263,6 +264,7 @@
             reason=order.reason,
             frees_memory_for=order.frees_memory_for,
             outcome=outcome,
+            took_ms=int((now - sent_at) * 1000),
         )
         self.plan_soon()
         if outcome == OrderAnswer.STARTED.name or (
