Make the order holder's traffic fit the link of a small VM

Cause: any VM may become the order holder, also one with a link of 5 Mbit/s. In a fleet of 63 VMs it sent 390 to 490 KB/s of placement updates, since each plan moved planned loads between engines and every move was published to 16 VMs, twice; and it was sent 380 to 806 KB/s of demand reports, since each listed all items of the last 14 s and every request that began to wait sent a whole report. The link was full both ways: orders took 160 to 216 ms at the median, a fifth was given up after 220 ms though carried out, loads were noticed late. Change: a report lists items requested within 1 s and those that requests wait for, and eight others by turns; one sent because requests wait lists only these; rates decay at the order holder. Planned loads are published by model, without the engine, and only when they change by 0.5 s. Large fleets gather changes for 0.1 s and send one copy to each zone, the own one included. Why it works: reports grow with requests instead of items, updates with orders instead of plans.

--- a/src/cactusshunt/membership/announcer.py
+++ b/src/cactusshunt/membership/announcer.py
@@ -9,11 +9,11 @@
 from cactusshunt.membership.messages import EngineWork
 from cactusshunt.membership.messages import ItemDemand
 from cactusshunt.membership.messages import Status
-from cactusshunt.membership.peer_link import LARGE_FLEET_PEERS
 from cactusshunt.membership.tenure import STORE_SILENCE_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from cactusshunt.membership.membership_task import MembershipTask
     from cactusshunt.membership.peer_link import PeerLink
@@ -22,7 +22,9 @@
 
 STATUS_INTERVAL_S = 0.2  # a usual prompt's prefill takes about half of it
 DEMAND_INTERVAL_S = 0.4  # short, since demand moves between models within seconds
-IDLE_ITEMS_EVERY = 8  # every 8th demand report also lists idle items, for a new order holder
+RECENT_ITEM_S = 2.5 * DEMAND_INTERVAL_S  # a request is in two reports, since one may be lost
+RATE_ITEM_S = 6.0  # after this time without a request, 2% of a rate are left
+OTHER_ITEMS_PER_REPORT = 8  # listed by turns, for a new order holder and after lost reports
 DEMAND_BATCH_DELAY_S = 0.01  # puts requests that begin to wait together into one datagram
 
 
@@ -56,7 +58,8 @@
         self._handle_demand = handle_demand
         self._plan_now = plan_now
         self._status_number = 0
-        self._demand_reports = 0
+        self._reported_holder: str | None = None
+        self._other_items_reported = 0
         self._reported_work = False
         self._batch_scheduled = False
 
@@ -88,17 +91,32 @@
             store_silent_ms=int(silent_s * 1000),
             work=work,
         )
-        to_all = store_is_silent or len(self._link.peers) < LARGE_FLEET_PEERS
+        to_all = store_is_silent or not self._link.is_large_fleet
         self._link.send(
             status, list(self._link.peers) if to_all else self._list_peers_in_own_zone()
         )
 
     def send_demand(self) -> None:
-        """Report the demand of this VM's callers to the order holder."""
-        demand = self._meter.read(self._reactor.seconds())
-        self._demand_reports += 1
-        if self._demand_reports % IDLE_ITEMS_EVERY == 0:
-            demand = dict.fromkeys(self._meter.list_requested_items(), (0.0, 0)) | demand
+        """Report the demand of this VM's callers to the order holder.
+
+        The size of a report follows the requests, not the number of items: it lists those requested
+        recently, or all with a present rate if the holder is new, and a few others by turns.
+        """
+        now = self._reactor.seconds()
+        holder = self._membership.holder
+        max_age_s = RECENT_ITEM_S if holder == self._reported_holder else RATE_ITEM_S
+        self._reported_holder = holder
+        others = self._meter.read_items(self._take_other_items(), now)
+        self._report_demand(others | self._meter.read_recent(now, max_age_s))
+
+    def _take_other_items(self) -> list[tuple[str, str]]:
+        """Return the next items, by turns, of all that were ever requested."""
+        items = self._meter.list_requested_items()
+        first = self._other_items_reported % max(1, len(items))
+        self._other_items_reported = first + OTHER_ITEMS_PER_REPORT
+        return items[first : first + OTHER_ITEMS_PER_REPORT]
+
+    def _report_demand(self, demand: Mapping[tuple[str, str], tuple[float, int]]) -> None:
         items = [
             ItemDemand(
                 service=key[0],
@@ -123,7 +141,7 @@
 
     def _send_batched_demand(self) -> None:
         self._batch_scheduled = False
-        self.send_demand()
+        self._report_demand(self._meter.read_waiting(self._reactor.seconds()))
         self._plan_now()
 
     def _list_peers_in_own_zone(self) -> list[str]:
--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -69,8 +69,20 @@
     coming: dict[str, int]
 
 
+class PlannedLoads(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Models of a service whose loads the order holder will order later.
+
+    ``update_number`` orders the updates of one holder; ``ready_in_ms`` gives the milliseconds until
+    each model is expected, and replaces that of earlier updates.
+    """
+
+    service: str
+    update_number: int
+    ready_in_ms: dict[str, int]
+
+
 class PlacementUpdate(msgspec.Struct, frozen=True, kw_only=True, tag="p", array_like=True):
-    """The order holder's update on engines whose items changed.
+    """The order holder's update on engines whose items changed, and on planned loads.
 
     ``token`` is the holder's fencing token; each new holder has a larger one. A receiver of an
     update with ``forward_in_zone`` forwards it to the VMs of its zone, with the flag cleared.
@@ -80,6 +92,7 @@
     token: int
     engines: list[EngineItems]
     forward_in_zone: bool = False
+    planned_loads: list[PlannedLoads] = []
 
 
 Message = Status | DemandReport | PlacementUpdate
--- a/src/cactusshunt/membership/peer_link.py
+++ b/src/cactusshunt/membership/peer_link.py
@@ -11,7 +11,7 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
-from cactusshunt.membership.broadcast import choose_recipients
+from cactusshunt.membership.broadcast import choose_forwarders
 from cactusshunt.membership.messages import DemandReport
 from cactusshunt.membership.messages import PlacementUpdate
 from cactusshunt.membership.messages import Status
@@ -67,6 +67,11 @@
         """Return the registered peers by VM name."""
         return self._peers
 
+    @property
+    def is_large_fleet(self) -> bool:
+        """Return whether updates are forwarded rather than sent to each VM."""
+        return len(self._peers) >= LARGE_FLEET_PEERS
+
     def set_peer(self, vm: str, record: PeerRecord | None) -> None:
         """Record a VM's registration; ``None`` removes the VM."""
         if vm == self._vm:
@@ -92,17 +97,15 @@
                 continue
             self.bytes_sent[MESSAGE_NAMES[type(message)]] += len(data)
 
-    def broadcast(self, update: PlacementUpdate, own_zone: str) -> None:
-        """Send an update to all peers, in a large fleet via one forwarder in each other zone."""
-        if len(self._peers) < LARGE_FLEET_PEERS:
+    def broadcast(self, update: PlacementUpdate) -> None:
+        """Send an update to all peers, in a large fleet via one forwarder in each zone."""
+        if not self.is_large_fleet:
             self.send(update, list(self._peers))
             return
         self._broadcasts += 1
         zones = {vm: peer.record.availability_zone for vm, peer in self._peers.items()}
-        same_zone, forwarders = choose_recipients(zones, own_zone, self._broadcasts)
-        self.send(update, same_zone)
-        if forwarders:
-            self.send(msgspec.structs.replace(update, forward_in_zone=True), forwarders)
+        forwarders = choose_forwarders(zones, self._broadcasts)
+        self.send(msgspec.structs.replace(update, forward_in_zone=True), forwarders)
 
     def forward_in_zone(self, update: PlacementUpdate, own_zone: str) -> None:
         """Forward an update from another zone to the peers in this zone."""
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -107,6 +107,7 @@
             tenure=lambda: self._membership.tenure,
             may_order=self._membership.may_order,
             publish=self._publish,
+            is_large_fleet=lambda: self._link.is_large_fleet,
         )
         self._meter = DemandMeter()
         self._allowance = RetryAllowance(
@@ -275,6 +276,8 @@
             self._link.forward_in_zone(message, self._settings.zone)
         for engine_items in message.engines:
             self._directory.apply_engine_items(engine_items, message.token)
+        for loads in message.planned_loads:
+            self._directory.apply_planned_loads(loads, message.token)
 
     def _handle_demand(self, report: DemandReport) -> None:
         self._orders.fleet_demand.apply_report(report.vm, report.items, self._now())
@@ -286,7 +289,7 @@
         self._orders.tick()
 
     def _publish(self, update: PlacementUpdate) -> None:
-        self._link.broadcast(update, self._settings.zone)
+        self._link.broadcast(update)
 
     def _run_housekeeping(self) -> None:
         self._pool.close_expired()
--- a/src/cactusshunt/placement/demand_meter.py
+++ b/src/cactusshunt/placement/demand_meter.py
@@ -2,35 +2,30 @@
 
 from __future__ import annotations
 
-import math
+from typing import TYPE_CHECKING
 
-from dataclasses import dataclass
+from cactusshunt.placement.decaying_rate import RATE_DECAY_S
+from cactusshunt.placement.decaying_rate import DecayingRate
 
-RATE_DECAY_S = 1.5  # time constant of rates; demand moves between models within seconds
-MIN_TOKENS_PER_MS = 1e-4  # rates below this are forgotten
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 ItemKey = tuple[str, str]
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Rate:
-    tokens_per_ms: float
-    at: float
-
-
 class DemandMeter:
     """Exponentially decayed token rates and waiting requests by ``(service, item)``."""
 
     def __init__(self) -> None:
-        self._rates: dict[ItemKey, _Rate] = {}
+        self._rates: dict[ItemKey, DecayingRate] = {}
         self._waiting: dict[ItemKey, int] = {}
         self._request_counts: dict[ItemKey, int] = {}
 
     def record_request(self, key: ItemKey, tokens: float, now: float) -> None:
         """Add one request, with its prompt's tokens, to an item's demand."""
         self._request_counts[key] = self._request_counts.get(key, 0) + 1
-        decayed = self._compute_rate(key, now)
-        self._rates[key] = _Rate(tokens_per_ms=decayed + tokens / (RATE_DECAY_S * 1000.0), at=now)
+        rate = self._rates.get(key, DecayingRate(at=now))
+        self._rates[key] = rate.increase(tokens / (RATE_DECAY_S * 1000.0), now)
 
     def begin_wait(self, key: ItemKey) -> None:
         """Count a request that waits for an item to be placed."""
@@ -44,12 +39,24 @@
         else:
             self._waiting.pop(key, None)
 
-    def read(self, now: float) -> dict[ItemKey, tuple[float, int]]:
-        """Return tokens per ms and waiting requests by item; forgets rates that have decayed."""
-        for key in [key for key in self._rates if self._compute_rate(key, now) < MIN_TOKENS_PER_MS]:
-            del self._rates[key]
-        keys = self._rates.keys() | self._waiting.keys()
-        return {key: (self._compute_rate(key, now), self._waiting.get(key, 0)) for key in keys}
+    def read_recent(self, now: float, max_age_s: float) -> dict[ItemKey, tuple[float, int]]:
+        """Return tokens per ms and waiting requests by item.
+
+        Items are left out if their last request is older and no request waits for them.
+        """
+        recent = {key for key, rate in self._rates.items() if now - rate.at <= max_age_s}
+        return self.read_items(recent | self._waiting.keys(), now)
+
+    def read_waiting(self, now: float) -> dict[ItemKey, tuple[float, int]]:
+        """Return the same for items that requests wait for."""
+        return self.read_items(self._waiting, now)
+
+    def read_items(self, keys: Iterable[ItemKey], now: float) -> dict[ItemKey, tuple[float, int]]:
+        """Return the same for the given items."""
+        return {
+            key: (self._rates.get(key, DecayingRate()).read(now), self._waiting.get(key, 0))
+            for key in keys
+        }
 
     def count_requests(self, key: ItemKey) -> int:
         """Return the number of requests for an item since this process started."""
@@ -58,9 +65,3 @@
     def list_requested_items(self) -> list[ItemKey]:
         """Return every item that was requested since this process started."""
         return list(self._request_counts)
-
-    def _compute_rate(self, key: ItemKey, now: float) -> float:
-        rate = self._rates.get(key)
-        if rate is None:
-            return 0.0
-        return rate.tokens_per_ms * math.exp(-(now - rate.at) / RATE_DECAY_S)
--- a/src/cactusshunt/placement/engine_ledger.py
+++ b/src/cactusshunt/placement/engine_ledger.py
@@ -33,7 +33,7 @@
     ``confirm_due_at`` the load of ``loading`` is ordered again, which the engine answers as done
     once it holds the model. ``busy`` is set while an order for a model is or may be under way.
     ``models`` also contains items that are still loading; ``coming`` maps loads under way to the
-    time when they should be ready, ``planned`` the same for loads to be ordered later.
+    time when they should be ready.
     ``reserved_for`` names the model for which memory was freed. ``changed`` is set until the state
     is published; ``last_mismatch`` is the last engine entry's models that differed from ``models``.
     """
@@ -60,7 +60,6 @@
     changed: bool = True
     accepted_at: float = -1e9
     last_mismatch: set[str] | None = None
-    planned: dict[str, float] = field(default_factory=dict)
     unanswered_at: float = -1e9
 
     def can_take_order(self, now: float) -> bool:
@@ -166,12 +165,6 @@
         self.coming[order.frees_memory_for] = now + load_s + USUAL_UNLOAD_S
         self.orders_paused_until = now + ORDER_RETRY_S
 
-    def record_planned_loads(self, planned: dict[str, float]) -> None:
-        """Record which models will be ordered later, and when they should be ready here."""
-        if planned.keys() != self.planned.keys():
-            self.changed = True
-        self.planned = planned
-
     def expire_reservation(self, now: float) -> None:
         """Release freed memory for which no load was ordered in time.
 
@@ -191,7 +184,7 @@
         """
         found = {
             item: at - now
-            for item, at in (self.planned | self.coming).items()
+            for item, at in self.coming.items()
             if at > now or ("/" not in item and at > now - MAX_LOAD_DELAY_S)
         }
         return {item: max(ORDER_RETRY_S, left) for item, left in found.items()}
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -9,6 +9,7 @@
 from cactusshunt.exceptions import OrderOutcomeUnknownError
 from cactusshunt.membership.messages import EngineItems
 from cactusshunt.membership.messages import PlacementUpdate
+from cactusshunt.membership.messages import PlannedLoads
 from cactusshunt.node_log import log_event
 from cactusshunt.placement.adapter_plan import plan_adapters
 from cactusshunt.placement.engine_ledger import EngineLedger
@@ -43,6 +44,8 @@
 FAILED_CALL_PAUSE_S = 0.4  # after an engine did not answer or refused an order
 UNKNOWN = "UNKNOWN"  # outcome of an order without an answer: it may be carried out, now or later
 NOT_SENT = "NOT_SENT"
+MAX_UNREPORTED_SHIFT_S = 0.5  # of a planned load's expected time
+LARGE_FLEET_GATHER_S = 0.1  # between two updates, whose bytes grow with the number of VMs
 UPDATE_REPEAT_S = 0.15  # updates are sent twice, because datagrams may be lost
 
 
@@ -59,6 +62,7 @@
         tenure: Callable[[], Tenure],
         may_order: Callable[[float], bool],
         publish: Callable[[PlacementUpdate], None],
+        is_large_fleet: Callable[[], bool],
     ) -> None:
         self._reactor = reactor
         self._vm = vm
@@ -67,12 +71,16 @@
         self._tenure = tenure
         self._may_order = may_order
         self._publish = publish
+        self._is_large_fleet = is_large_fleet
         self._services: list[Service] = []
         self._ledgers: dict[str, EngineLedger] = {}
         self._load_limiters: dict[str, LoadRateLimiter] = {}
         self._token = 0
         self.fleet_demand = FleetDemand()
         self._planned_at = 0.0
+        self._planned_loads: dict[str, dict[str, float]] = {}
+        self._unreported_plans: set[str] = set()
+        self._publish_due_at = 0.0
         self._unplaced = UnplacedItems()
         self._update_number = 0
         self._plan_requested = True
@@ -114,6 +122,8 @@
         self._token = tenure.token
         self._ledgers.clear()
         self._load_limiters = {}
+        self._planned_loads = {}
+        self._unreported_plans = set()
 
     def _check_engines(self, upstreams: list[Upstream], now: float) -> None:
         for upstream in upstreams:
@@ -213,7 +223,7 @@
         )
         plan = plan_models(state)
         orders = plan.orders
-        self._record_arrivals(plan.arrivals, upstreams, now)
+        self._record_arrivals(service.name, plan.arrivals, now)
         engines_with_orders = frozenset(order.engine for order in orders)
         adapter_plan = plan_adapters(state, engines_with_orders)
         orders += adapter_plan.orders
@@ -229,15 +239,19 @@
                 load_s = state.facts[model_to_load].load_s[order.source]
             start_coroutine(self._send_planned_order(by_name[order.engine], order, token, load_s))
 
-    def _record_arrivals(
-        self, arrivals: list[PlannedArrival], upstreams: list[Upstream], now: float
-    ) -> None:
-        """Record when models to be ordered later should be ready, so that their callers wait."""
-        planned: dict[str, dict[str, float]] = {upstream.name: {} for upstream in upstreams}
-        for arrival in arrivals:
-            planned[arrival.engine][arrival.model] = now + arrival.ready_in_s
-        for name, found in planned.items():
-            self._ledgers[name].record_planned_loads(found)
+    def _record_arrivals(self, service: str, arrivals: list[PlannedArrival], now: float) -> None:
+        """Record when models to be ordered later should be ready, so that their callers wait.
+
+        At which engine is left out: it changes from plan to plan, and callers need not know.
+        """
+        planned = {arrival.model: now + arrival.ready_in_s for arrival in arrivals}
+        known = self._planned_loads.get(service, {})
+        if planned.keys() == known.keys() and all(
+            abs(known[model] - at) < MAX_UNREPORTED_SHIFT_S for model, at in planned.items()
+        ):
+            return
+        self._planned_loads[service] = planned
+        self._unreported_plans.add(service)
 
     async def _send_planned_order(
         self, upstream: Upstream, order: PlannedOrder, token: int, load_s: float
@@ -312,8 +326,10 @@
         changed = [
             ledger for ledger in self._ledgers.values() if ledger.state_known and ledger.changed
         ]
-        if not changed:
+        if (not changed and not self._unreported_plans) or now < self._publish_due_at:
             return
+        if self._is_large_fleet():
+            self._publish_due_at = now + LARGE_FLEET_GATHER_S
         engine_items = []
         self._update_number += 1
         for ledger in changed:
@@ -329,9 +345,25 @@
                     },
                 )
             )
-        update = PlacementUpdate(vm=self._vm, token=self._token, engines=engine_items)
+        planned_loads = [
+            PlannedLoads(
+                service=service,
+                update_number=self._update_number,
+                ready_in_ms={
+                    model: int((at - now) * 1000)
+                    for model, at in self._planned_loads[service].items()
+                },
+            )
+            for service in sorted(self._unreported_plans)
+        ]
+        self._unreported_plans.clear()
+        update = PlacementUpdate(
+            vm=self._vm, token=self._token, engines=engine_items, planned_loads=planned_loads
+        )
         for found in engine_items:
             self._directory.apply_engine_items(found, self._token)
+        for loads in planned_loads:
+            self._directory.apply_planned_loads(loads, self._token)
         self._publish(update)
         reactor: Any = self._reactor
         reactor.callLater(UPDATE_REPEAT_S, self._publish, update)
--- a/src/cactusshunt/routing/upstream_directory.py
+++ b/src/cactusshunt/routing/upstream_directory.py
@@ -17,6 +17,7 @@
     from collections.abc import Callable
 
     from cactusshunt.membership.messages import EngineItems
+    from cactusshunt.membership.messages import PlannedLoads
     from cactusshunt.membership.messages import Status
     from cactusshunt.platform.documents import UpstreamEntry
     from cactusshunt.platform.store import StoredItem
@@ -43,6 +44,8 @@
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: defaultdict[str, dict[str, Upstream]] = defaultdict(dict)
         self._last_status_by_vm: dict[str, int] = {}
+        # the order of the last update on planned loads, and when each model is expected, by service
+        self._planned_loads: dict[str, tuple[tuple[int, int], dict[str, float]]] = {}
         self.on_change: Callable[[], None] = lambda: None
         self.wake_later: Callable[[float], None] = lambda seconds: None
         self.on_expired: Callable[[Upstream], None] = lambda upstream: None
@@ -71,12 +74,15 @@
         return registered or ready
 
     def expected_at(self, service: str, item: str) -> float | None:
-        """Return when an upstream is expected to hold an item; ``None`` if none loads it."""
+        """Return when an upstream is expected to hold an item; ``None`` if no load is planned."""
         times = [
             found.held.coming[item]
             for found in self._by_service[service].values()
             if item in found.held.coming
         ]
+        _, planned = self._planned_loads.get(service, (None, {}))
+        if planned.get(item, 0.0) > self._clock():  # else the order holder no longer reports
+            times.append(planned[item])
         return min(times, default=None)
 
     def apply_stored_entry(self, item: StoredItem) -> None:
@@ -111,6 +117,17 @@
             ),
         )
 
+    def apply_planned_loads(self, loads: PlannedLoads, token: int) -> None:
+        """Apply the order holder's list of planned loads, unless a later one is known."""
+        order = (token, loads.update_number)
+        known = self._planned_loads.get(loads.service)
+        if known is not None and order <= known[0]:
+            return
+        now = self._clock()
+        expected_at = {model: now + ms / 1000.0 for model, ms in loads.ready_in_ms.items()}
+        self._planned_loads[loads.service] = (order, expected_at)
+        self.on_change()
+
     def apply_status(self, status: Status) -> None:
         """Record another VM's work at the upstreams."""
         if self._last_status_by_vm.get(status.vm, -1) == status.status_number:
--- a/tests/membership/broadcast.feature
+++ b/tests/membership/broadcast.feature
@@ -17,3 +17,4 @@
     Given 24 VMs in 3 zones
     When one of them broadcasts an update twice
     Then no VM forwards both updates
+    And the sender sends one datagram to each zone
