Plan every model that lacks a replica, not the best 32

Callers saw: requests for a rarely requested model refused as 'model is not placed' each time. Cause: a plan handled the 32 models with the largest gain. With about 50 busy models that lack replicas, a rare one, whose gain is one waiting request, never came among them. Change: no limit on the number of models; instead, only the 12 cheapest engines, and those with the weights at hand, are compared for each, and models that could be ordered in 8 s at the earliest get that time without comparison. Why it works: every model in demand is considered in each plan, at a bounded cost for each. Measured: the scenario fails on the code before (no load of the rare model) and passes now.

--- a/src/cactusshunt/placement/fleet_state.py
+++ b/src/cactusshunt/placement/fleet_state.py
@@ -146,8 +146,6 @@
 class UnplacedReason(enum.Enum):
     """Why a plan contains no load of a model or adapter that is in demand and that none holds."""
 
-    PLAN_LIMIT = "plan limit"
-    GAIN_TOO_SMALL = "gain too small"
     EVICTION_COSTS_MORE = "eviction costs more"
     NO_ENGINE_TAKES_ORDERS = "no engine takes orders"
     LATER = "engine or weight store busy"
@@ -158,10 +156,9 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PlannedArrival:
-    """A load to be ordered once its engine is free; ``ready_in_s`` is when it should be done."""
+    """A load to be ordered once an engine is free; ``ready_in_s`` is when it should be done."""
 
-    engine: str
-    model: str
+    item: str
     ready_in_s: float
 
 
--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from bisect import insort
+from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -30,7 +32,9 @@
 MAX_SPARE_MODEL_SLOT_LOST_PER_S = 0.08  # requests a second that freeing such a slot may lose
 MIN_SAVED_BY_EVICTING_REPLICA_PER_S = 0.6  # for a further replica that needs an unload
 MIN_SAVED_BY_WEIGHT_STORE_REPLICA_PER_S = 1.2  # for a further replica from the weight store
-MAX_REPLICA_REQUESTS = 32  # handled in one plan, to keep its time within milliseconds
+CANDIDATES_PER_REPLICA = 12  # engines compared, besides those that have the weights at hand
+MAX_EXAMINED_ENGINES = 36  # for one replica; keeps the time of a plan within milliseconds
+MAX_PLANNED_WAIT_S = 8.0  # until an engine is free; callers of loads after it have left
 WEIGHT_STORE_LOAD_COST_S = 1.0  # added cost, because all engines share the store's load rate
 UNCONFIRMED_ORDER_WINDOW_S = 3.0  # in which an engine may leave more orders unanswered after one
 UNCONFIRMED_ORDER_COST_S = 1.0  # added cost of an engine in that window: a few order timeouts
@@ -56,11 +60,8 @@
     """Return the next orders, at most one for each engine that is not busy, and later loads."""
     planner = _Planner(state)
     planner.order_reserved_loads()
-    needed = planner.find_replica_requests()
-    for request in needed[:MAX_REPLICA_REQUESTS]:
+    for request in planner.find_replica_requests():
         planner.place_replica(request)
-    for request in needed[MAX_REPLICA_REQUESTS:]:
-        planner.record_unplaced(request, UnplacedReason.PLAN_LIMIT)
     planner.keep_spare_model_slots()
     return ModelPlan(orders=planner.orders, arrivals=planner.arrivals, unplaced=planner.unplaced)
 
@@ -105,6 +106,16 @@
         self.expected = ReplicaTally()
         self._model_zones: set[tuple[str, str]] = set()
         self._free_after_loads_mb: dict[str, float] = {}
+        self._engines_by_name = {engine.name: engine for engine in state.engines}
+        self._ranked_engines: list[tuple[float, str]] = []
+        self._rank_keys: dict[str, float] = {}
+        facts = state.facts.values()
+        self._usual_load_s = max((fact.load_s[WeightSource.STORE] for fact in facts), default=0.0)
+        self._usual_size_mb = max((fact.size_mb for fact in facts), default=0.0)
+        self._engines_with_weights: defaultdict[str, set[str]] = defaultdict(set)
+        for engine in state.engines:
+            for model in engine.in_memory | engine.on_disk:
+                self._engines_with_weights[model].add(engine.name)
         for engine in state.engines:
             under_way = {*engine.coming}
             if engine.reserved_for is not None:
@@ -223,21 +234,17 @@
         from the weight store, during which another engine accepts no orders. As the reason of an
         order, "absent" means that the model had no replica, "busy" that it had too few.
         """
-        candidates = [
-            candidate
-            for engine in self._state.engines
-            if (candidate := self._make_load_candidate(engine, needed)) is not None
-        ]
+        waits_s = [wait_s for wait_s in self._available_in_s.values() if wait_s is not None]
+        if not waits_s:
+            self.record_unplaced(needed, UnplacedReason.NO_ENGINE_TAKES_ORDERS)
+            return
+        if min(waits_s) > MAX_PLANNED_WAIT_S:
+            load_s = self._state.facts[needed.model].load_s[WeightSource.STORE]
+            self._plan_later(needed, min(waits_s) + load_s)
+            return
+        candidates = self._find_candidates(needed)
         if not candidates:
-            takes_orders = any(wait_s is not None for wait_s in self._available_in_s.values())
-            self.record_unplaced(
-                needed,
-                (
-                    UnplacedReason.EVICTION_COSTS_MORE
-                    if takes_orders
-                    else UnplacedReason.NO_ENGINE_TAKES_ORDERS
-                ),
-            )
+            self.record_unplaced(needed, UnplacedReason.EVICTION_COSTS_MORE)
             return
         best = min(candidates, key=lambda candidate: candidate.cost_s)
         wait_s = self._available_in_s[best.engine.name] or 0.0
@@ -248,16 +255,50 @@
                 best.model_to_unload,
                 "absent" if needed.absent else "busy",
             )
-        elif needed.absent:
-            self.record_unplaced(needed, UnplacedReason.LATER)
-            self.arrivals.append(
-                PlannedArrival(
-                    engine=best.engine.name,
-                    model=needed.model,
-                    ready_in_s=wait_s + best.duration_s,
-                )
-            )
+        else:
+            self._plan_later(needed, wait_s + best.duration_s)
         self._available_in_s[best.engine.name] = wait_s + best.duration_s
+        self._rank_engine(best.engine)
+
+    def _plan_later(self, needed: _ReplicaRequest, ready_in_s: float) -> None:
+        """Record when a model that no engine holds should be ready."""
+        self.record_unplaced(needed, UnplacedReason.LATER)
+        if needed.absent:
+            self.arrivals.append(PlannedArrival(item=needed.model, ready_in_s=ready_in_s))
+
+    def _find_candidates(self, needed: _ReplicaRequest) -> list[_LoadCandidate]:
+        """Return loads on the engines that are cheapest for any model or have its weights."""
+        if not self._ranked_engines:
+            for engine in self._state.engines:
+                self._rank_engine(engine)
+        names = [name for _, name in self._ranked_engines[:MAX_EXAMINED_ENGINES]]
+        with_weights = self._engines_with_weights.get(needed.model, set())
+        found = []
+        for name in [*sorted(with_weights), *(name for name in names if name not in with_weights)]:
+            candidate = self._make_load_candidate(self._engines_by_name[name], needed)
+            if candidate is not None:
+                found.append(candidate)
+            if len(found) >= CANDIDATES_PER_REPLICA + len(with_weights):
+                break
+        return found
+
+    def _rank_engine(self, engine: EngineState) -> None:
+        """Sort an engine by the part of its cost that doesn't depend on the model to be loaded."""
+        known = self._rank_keys.pop(engine.name, None)
+        if known is not None:
+            self._ranked_engines.remove((known, engine.name))
+        wait_s = self._available_in_s.get(engine.name)
+        if wait_s is None:
+            return
+        load, adapter_rate = self._replica_values.estimate_engine_work(engine)
+        cost_s = wait_s + load + ADAPTER_DELAY_COST_FACTOR * adapter_rate * self._usual_load_s
+        if engine.since_unanswered_s < UNCONFIRMED_ORDER_WINDOW_S:
+            cost_s += UNCONFIRMED_ORDER_COST_S
+        if self._find_free_after_loads_mb(engine) < self._usual_size_mb:
+            eviction_candidate = self._replica_values.find_eviction_candidate(engine)
+            cost_s += eviction_candidate.total_cost_s if eviction_candidate is not None else 0.0
+        self._rank_keys[engine.name] = cost_s
+        insort(self._ranked_engines, (cost_s, engine.name))
 
     def record_unplaced(self, needed: _ReplicaRequest, reason: UnplacedReason) -> None:
         """Record why no load was ordered, if no engine holds the model."""
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -244,7 +244,7 @@
 
         At which engine is left out: it changes from plan to plan, and callers need not know.
         """
-        planned = {arrival.model: now + arrival.ready_in_s for arrival in arrivals}
+        planned = {arrival.item: now + arrival.ready_in_s for arrival in arrivals}
         known = self._planned_loads.get(service, {})
         if planned.keys() == known.keys() and all(
             abs(known[model] - at) < MAX_UNREPORTED_SHIFT_S for model, at in planned.items()
--- a/tests/placement/model_plan.feature
+++ b/tests/placement/model_plan.feature
@@ -25,3 +25,8 @@
     When a request waits for a ninth adapter
     Then the least recently requested adapter is unloaded
     And nothing is unloaded for an adapter that no request waits for
+
+  Scenario: A rare model is placed although many busy ones lack replicas
+    Given 60 engines without models, and 40 busy models that need replicas
+    When a request waits for a rare model
+    Then the plan loads the rare model
--- a/tests/steps/log_steps.py
+++ b/tests/steps/log_steps.py
@@ -117,7 +117,7 @@
 TRAILS: dict[str, list[dict[str, Any]]] = {
     "no other line names it": [],
     "plans leave it out": [
-        {"event": "items_unplaced", "reason": "plan limit", "items": ["rare", "other"]}
+        {"event": "items_unplaced", "reason": "eviction costs more", "items": ["rare", "other"]}
     ],
     "the unload before its load is refused": [{"event": "order", "outcome": "CONFLICT", **ROOM}],
     "it is loaded and unloaded": [
--- a/tests/steps/model_plan_steps.py
+++ b/tests/steps/model_plan_steps.py
@@ -256,3 +256,48 @@
 @then("nothing is unloaded for an adapter that no request waits for")
 def check_nothing_unloaded(context: Any) -> None:
     assert plan_ninth_adapter(context, 0) == []
+
+
+@given("{engines:d} engines without models, and {busy:d} busy models that need replicas")
+def make_empty_engines(context: Any, engines: int, busy: int) -> None:
+    context.engine_count = engines
+    context.demand = {
+        f"b{number}": Demand(tokens_per_ms=30.0, last_requested_at=NOW, usual_requests_per_s=15.0)
+        for number in range(busy)
+    }
+
+
+@when("a request waits for a rare model")
+def request_rare_model(context: Any) -> None:
+    context.demand["rare"] = Demand(tokens_per_ms=0.5, waiting=1, last_requested_at=NOW)
+    engines = tuple(
+        EngineState(
+            name=f"e{number}",
+            availability_zone="x",
+            capacity_mb=230.0,
+            adapter_slots=8,
+            sequence=0,
+            busy=False,
+            models={},
+        )
+        for number in range(context.engine_count)
+    )
+    load_s = FACTS["m0"].load_s
+    facts = {
+        name: ModelFacts(name=name, size_mb=70.0, adapter_mb=1.0, load_s=load_s)
+        for name in context.demand
+    }
+    context.orders = plan_models(
+        FleetState(
+            now=NOW,
+            engines=engines,
+            facts=facts,
+            demand=context.demand,
+            weight_store_loads_allowed=100,
+        )
+    ).orders
+
+
+@then("the plan loads the rare model")
+def check_rare_loaded(context: Any) -> None:
+    assert any(order.load and order.model == "rare" for order in context.orders), context.orders
