Order adapters that requests wait for before model loads

Callers saw: requests for an adapter of a loaded model refused after 0.35 to 0.8 s as 'model is not placed', again and again. Cause: an engine gets one order a plan, model orders first. An adapter takes milliseconds, a model load seconds, in which the engine accepts no other order; while models wait to be loaded, each engine that becomes free gets the next model load, and its adapters none. Callers were not told when the engine would be free. Change: orders for adapters that requests wait for and that no engine holds are planned first, at most one an engine and plan; the time at which a busy engine should take one is published like that of planned loads. Why it works: a model load is delayed by one short order at most a plan, and no queue of loads can keep an adapter out. Measured: the scenario 'An adapter is loaded before its engine loads a model for seconds' fails before and passes now.

--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -70,10 +70,10 @@
 
 
 class PlannedLoads(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Models of a service whose loads the order holder will order later.
+    """Items of a service whose loads the order holder will order later.
 
     ``update_number`` orders the updates of one holder; ``ready_in_ms`` gives the milliseconds until
-    each model is expected, and replaces that of earlier updates.
+    each item is expected, and replaces that of earlier updates.
     """
 
     service: str
--- a/src/cactusshunt/placement/adapter_plan.py
+++ b/src/cactusshunt/placement/adapter_plan.py
@@ -10,18 +10,47 @@
 
 from cactusshunt.placement.fleet_state import AdapterPlan
 from cactusshunt.placement.fleet_state import Demand
+from cactusshunt.placement.fleet_state import PlannedArrival
 from cactusshunt.placement.fleet_state import PlannedOrder
 from cactusshunt.placement.fleet_state import UnplacedReason
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from cactusshunt.placement.fleet_state import EngineState
     from cactusshunt.placement.fleet_state import FleetState
 
+USUAL_ADAPTER_LOAD_S = 0.1  # from a free engine to a loaded adapter, orders included
 ADAPTER_IN_DEMAND_S = 2.0  # an adapter counts as in demand for this long after a request
 REPLICA_TOKENS_PER_MS = 3.0  # demand that one replica of an adapter should serve
 SPARE_ADAPTER_SLOTS_PER_ENGINE = 1  # kept so that a requested adapter can load at once
 
 
+def plan_waiting_adapters(state: FleetState) -> AdapterPlan:
+    """Return orders for adapters that requests wait for and that no engine holds.
+
+    They come before model orders, at most one for each engine: an adapter loads within
+    milliseconds, but an engine that loads a model accepts no other order for seconds.
+    """
+    held = {
+        (model, adapter)
+        for engine in state.engines
+        for model, adapters in engine.models.items()
+        for adapter in adapters
+    }
+    waiting = {
+        pair: demand
+        for pair, demand in state.adapter_demand.items()
+        if demand.waiting and pair not in held
+    }
+    engines = {
+        engine.name: engine
+        for engine in state.engines
+        if not engine.busy and engine.reserved_for is None
+    }
+    return _plan_requested(state, engines, waiting)
+
+
 def plan_adapters(state: FleetState, engines_with_orders: frozenset[str]) -> AdapterPlan:
     """Return adapter orders, at most one for each engine without a model order in this plan.
 
@@ -35,19 +64,22 @@
         and not engine.busy
         and engine.reserved_for is None
     }
-    unplaced: dict[str, UnplacedReason] = {}
-    orders = _plan_requested(state, engines, unplaced)
-    orders += _plan_prefetches(state, engines)
-    return AdapterPlan(orders=orders, unplaced=unplaced)
+    plan = _plan_requested(state, engines, state.adapter_demand)
+    orders = plan.orders + _plan_prefetches(state, engines)
+    return AdapterPlan(orders=orders, arrivals=plan.arrivals, unplaced=plan.unplaced)
 
 
 def _plan_requested(
-    state: FleetState, engines: dict[str, EngineState], unplaced: dict[str, UnplacedReason]
-) -> list[PlannedOrder]:
+    state: FleetState,
+    engines: dict[str, EngineState],
+    adapter_demand: Mapping[tuple[str, str], Demand],
+) -> AdapterPlan:
     """Place adapters in demand; removes the engines used from ``engines``."""
     orders = []
+    arrivals = []
+    unplaced: dict[str, UnplacedReason] = {}
     wanted = sorted(
-        state.adapter_demand.items(), key=lambda pair: (-pair[1].waiting, -pair[1].tokens_per_ms)
+        adapter_demand.items(), key=lambda pair: (-pair[1].waiting, -pair[1].tokens_per_ms)
     )
     for (model, adapter), demand in wanted:
         holders = sum(1 for engine in state.engines if adapter in engine.models.get(model, ()))
@@ -63,7 +95,10 @@
         ]
         if not hosts:
             if not holders:
-                unplaced[f"{model}/{adapter}"] = _explain_missing_host(state, engines, model)
+                reason = _explain_missing_host(state, engines, model)
+                unplaced[f"{model}/{adapter}"] = reason
+                if reason is UnplacedReason.MODEL_ENGINES_BUSY:
+                    arrivals += _expect_free_host(state, model, adapter)
             continue
         engine = min(hosts, key=lambda host: (_is_full(host), host.running, host.name))
         order = _plan_order(state, engine, model, adapter)
@@ -72,7 +107,20 @@
             del engines[engine.name]
         elif not holders:
             unplaced[f"{model}/{adapter}"] = UnplacedReason.ADAPTER_SLOTS_IN_USE
-    return orders
+    return AdapterPlan(orders=orders, arrivals=arrivals, unplaced=unplaced)
+
+
+def _expect_free_host(state: FleetState, model: str, adapter: str) -> list[PlannedArrival]:
+    """Return when an engine with the model should accept an order, if that is known."""
+    free_in_s = [
+        engine.free_in_s
+        for engine in state.engines
+        if model in engine.models and engine.free_in_s is not None
+    ]
+    if not free_in_s:
+        return []
+    ready_in_s = min(free_in_s) + USUAL_ADAPTER_LOAD_S
+    return [PlannedArrival(item=f"{model}/{adapter}", ready_in_s=ready_in_s)]
 
 
 def _explain_missing_host(
--- a/src/cactusshunt/placement/fleet_state.py
+++ b/src/cactusshunt/placement/fleet_state.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 
 
 class WeightSource(enum.Enum):
@@ -116,6 +117,19 @@
     tokens_per_ms: float = 20.0
 
 
+def mark_ordered(state: FleetState, engines: frozenset[str]) -> FleetState:
+    """Return the state in which the given engines are about to carry out a short order."""
+    if not engines:
+        return state
+    return replace(
+        state,
+        engines=tuple(
+            replace(engine, busy=True, free_in_s=0.0) if engine.name in engines else engine
+            for engine in state.engines
+        ),
+    )
+
+
 @dataclass(frozen=True, kw_only=True)
 class PlannedOrder:
     """One order for one engine, valid only while the engine has accepted ``expected`` orders.
@@ -173,7 +187,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class AdapterPlan:
-    """Orders to be sent now, and adapters in demand without one, as ``model/adapter``."""
+    """Orders for adapters: to be sent now, to be sent later, and why others are not placed.
+
+    Keys of ``unplaced`` are ``model/adapter``.
+    """
 
     orders: list[PlannedOrder]
+    arrivals: list[PlannedArrival] = field(default_factory=list)
     unplaced: dict[str, UnplacedReason] = field(default_factory=dict)
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -12,8 +12,10 @@
 from cactusshunt.membership.messages import PlannedLoads
 from cactusshunt.node_log import log_event
 from cactusshunt.placement.adapter_plan import plan_adapters
+from cactusshunt.placement.adapter_plan import plan_waiting_adapters
 from cactusshunt.placement.engine_ledger import EngineLedger
 from cactusshunt.placement.fleet_demand import FleetDemand
+from cactusshunt.placement.fleet_state import mark_ordered
 from cactusshunt.placement.fleet_view import describe_fleet
 from cactusshunt.placement.load_rate import LoadRateLimiter
 from cactusshunt.placement.model_plan import plan_models
@@ -221,12 +223,12 @@
             fleet_demand=self.fleet_demand,
             weight_store_loads=rate.count_allowed(now),
         )
+        waiting_plan = plan_waiting_adapters(state)
+        state = mark_ordered(state, frozenset(order.engine for order in waiting_plan.orders))
         plan = plan_models(state)
-        orders = plan.orders
-        self._record_arrivals(service.name, plan.arrivals, now)
-        engines_with_orders = frozenset(order.engine for order in orders)
-        adapter_plan = plan_adapters(state, engines_with_orders)
-        orders += adapter_plan.orders
+        adapter_plan = plan_adapters(state, frozenset(order.engine for order in plan.orders))
+        orders = waiting_plan.orders + plan.orders + adapter_plan.orders
+        self._record_arrivals(service.name, plan.arrivals + adapter_plan.arrivals, now)
         self._unplaced.record(plan.unplaced | adapter_plan.unplaced, now)
         by_name = {upstream.name: upstream for upstream in upstreams}
         for order in orders:
@@ -240,14 +242,14 @@
             start_coroutine(self._send_planned_order(by_name[order.engine], order, token, load_s))
 
     def _record_arrivals(self, service: str, arrivals: list[PlannedArrival], now: float) -> None:
-        """Record when models to be ordered later should be ready, so that their callers wait.
+        """Record when items to be ordered later should be ready, so that their callers wait.
 
         At which engine is left out: it changes from plan to plan, and callers need not know.
         """
         planned = {arrival.item: now + arrival.ready_in_s for arrival in arrivals}
         known = self._planned_loads.get(service, {})
         if planned.keys() == known.keys() and all(
-            abs(known[model] - at) < MAX_UNREPORTED_SHIFT_S for model, at in planned.items()
+            abs(known[item] - at) < MAX_UNREPORTED_SHIFT_S for item, at in planned.items()
         ):
             return
         self._planned_loads[service] = planned
@@ -350,8 +352,8 @@
                 service=service,
                 update_number=self._update_number,
                 ready_in_ms={
-                    model: int((at - now) * 1000)
-                    for model, at in self._planned_loads[service].items()
+                    item: int((at - now) * 1000)
+                    for item, at in self._planned_loads[service].items()
                 },
             )
             for service in sorted(self._unreported_plans)
--- a/src/cactusshunt/routing/upstream_directory.py
+++ b/src/cactusshunt/routing/upstream_directory.py
@@ -44,7 +44,7 @@
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: defaultdict[str, dict[str, Upstream]] = defaultdict(dict)
         self._last_status_by_vm: dict[str, int] = {}
-        # the order of the last update on planned loads, and when each model is expected, by service
+        # the order of the last update on planned loads, and when each item is expected, by service
         self._planned_loads: dict[str, tuple[tuple[int, int], dict[str, float]]] = {}
         self.on_change: Callable[[], None] = lambda: None
         self.wake_later: Callable[[float], None] = lambda seconds: None
@@ -124,7 +124,7 @@
         if known is not None and order <= known[0]:
             return
         now = self._clock()
-        expected_at = {model: now + ms / 1000.0 for model, ms in loads.ready_in_ms.items()}
+        expected_at = {item: now + ms / 1000.0 for item, ms in loads.ready_in_ms.items()}
         self._planned_loads[loads.service] = (order, expected_at)
         self.on_change()
 
--- a/tests/steps/order_holder_steps.py
+++ b/tests/steps/order_holder_steps.py
@@ -8,10 +8,17 @@
 from behave import then
 from behave import when
 
+from cactusshunt.placement.adapter_plan import plan_adapters
+from cactusshunt.placement.fleet_state import Demand
+from cactusshunt.placement.fleet_state import EngineState
+from cactusshunt.placement.fleet_state import FleetState
+from cactusshunt.placement.fleet_state import ModelFacts
+from cactusshunt.placement.fleet_state import WeightSource
 from tests.steps.simulated_fleet import HOLDER
 from tests.steps.simulated_fleet import SimulatedFleet
 
 TICK_S = 0.1
+UNLOADS_BEGIN_S = 15.0
 ADAPTER_FRACTION = 0.2  # of requests for busy models
 
 
@@ -46,3 +53,62 @@
     sent = context.fleet.bytes_sent[HOLDER] * 8e-6 / context.seconds
     received = context.fleet.bytes_received[HOLDER] * 8e-6 / context.seconds
     assert max(sent, received) <= mbit, f"sent {sent:.2f}, received {received:.2f} Mbit/s"
+
+
+@when("a request for the rare model and one for an adapter of a busy model arrive")
+def send_two_requests(context: Any) -> None:
+    # Unloads begin some time after the first demand.
+    context.fleet.request("vm0", context.busy[0])
+    context.fleet.advance(UNLOADS_BEGIN_S)
+    context.fleet.request("vm0", context.rare[0])
+    adapters = [f"{model}/{name}" for model in context.busy for name in ("a1", "a2")]
+    context.adapter = next(item for item in adapters if not context.fleet.holds(item))
+    context.fleet.request("vm0", context.adapter)
+
+
+@then("the adapter is loaded within {seconds:g} s")
+def check_adapter_loaded(context: Any, seconds: float) -> None:
+    context.fleet.advance(seconds)
+    assert context.fleet.holds(context.adapter)
+
+
+@then("the rare model is loaded within {seconds:g} s")
+def check_model_loaded(context: Any, seconds: float) -> None:
+    context.fleet.advance(seconds)
+    assert context.fleet.holds(context.rare[0])
+
+
+@given("an engine that holds a model and accepts orders in {seconds:g} s")
+def make_busy_engine(context: Any, seconds: float) -> None:
+    context.engine = EngineState(
+        name="e0",
+        availability_zone="x",
+        capacity_mb=230.0,
+        adapter_slots=5,
+        sequence=0,
+        busy=True,
+        free_in_s=seconds,
+        models={"m0": frozenset()},
+    )
+
+
+@when("a request waits for an adapter of the model")
+def wait_for_adapter(context: Any) -> None:
+    load_s = dict.fromkeys(WeightSource, 4.0)
+    fact = ModelFacts(name="m0", size_mb=70.0, adapter_mb=1.0, load_s=load_s, adapters=("a1",))
+    demand = Demand(tokens_per_ms=1.0, waiting=1, last_requested_at=100.0)
+    context.plan = plan_adapters(
+        FleetState(
+            now=100.0,
+            engines=(context.engine,),
+            facts={"m0": fact},
+            adapter_demand={("m0", "a1"): demand},
+        ),
+        frozenset(),
+    )
+
+
+@then("the adapter is expected in {seconds:g} s")
+def check_expected(context: Any, seconds: float) -> None:
+    found = [(arrival.item, round(arrival.ready_in_s, 3)) for arrival in context.plan.arrivals]
+    assert found == [("m0/a1", seconds)], found
