Count requests since a model was last held in its gain

Callers saw: requests for a rare model refused one after the other, although others as rare were loaded. Cause: the gain of loading an absent model counted the requests that wait now. A refused caller leaves none, so that the model starts anew with each request, behind further replicas of busy models each time. Change: requests since an engine last held the item are counted, and add 0.25 requests a second each to an absent model's gain, at most 3, about what a further replica of a busy model saves. Why it works: the gain grows with each refusal until it is above that of other loads; it ends with the load. Measured: the scenario of a refused rare model beside a busy one that needs a replica gives the engine to the busy model after no refusal, to the rare one after 12; without the count it is the busy one both times.

--- a/src/cactusshunt/placement/fleet_demand.py
+++ b/src/cactusshunt/placement/fleet_demand.py
@@ -11,6 +11,8 @@
 from cactusshunt.placement.fleet_state import Demand
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from cactusshunt.membership.messages import ItemDemand
 
 ItemKey = tuple[str, str]
@@ -34,6 +36,7 @@
         self._request_counts: dict[tuple[str, ItemKey], int] = {}
         self._usual_rates: dict[ItemKey, tuple[float, float]] = {}
         self._first_report_at: float | None = None
+        self._unserved: Counter[ItemKey] = Counter()
 
     def apply_report(self, vm: str, items: list[ItemDemand], now: float) -> None:
         """Apply one VM's report."""
@@ -53,9 +56,16 @@
                 self._usual_rates.setdefault(key, (0.0, now - ASSUMED_IDLE_S))
             elif new_requests:
                 self._record_requests(key, min(new_requests, MAX_REQUESTS_PER_REPORT), now)
+                # The first report of a VM also counts requests of which the outcome is not known.
+                self._unserved[key] += 1 if previous is None else new_requests
         waiting = {(item.service, item.item): item.waiting for item in items if item.waiting}
         self._waiting[vm] = (now, waiting)
 
+    def record_held(self, service: str, items: Iterable[str]) -> None:
+        """Stop counting the earlier requests for items that engines hold as unserved."""
+        for item in items:
+            self._unserved.pop((service, item), None)
+
     def read(self, service: str, now: float) -> dict[str, Demand]:
         """Return the demand for a service's items, summed over all VMs."""
         waiting: Counter[ItemKey] = Counter()
@@ -76,6 +86,7 @@
             waiting=waiting,
             last_requested_at=requested_at,
             usual_requests_per_s=usual_rate,
+            unserved_requests=self._unserved[key],
         )
 
     def _apply_rate(self, vm: str, key: ItemKey, tokens_per_ms: float, now: float) -> None:
--- a/src/cactusshunt/placement/fleet_state.py
+++ b/src/cactusshunt/placement/fleet_state.py
@@ -84,12 +84,14 @@
 
     ``tokens_per_ms`` is the present rate of prompt tokens, ``usual_requests_per_s`` the rate over
     the tens of seconds before the last request; ``last_requested_at`` is -1e9 for never.
+    ``unserved_requests`` were counted since an engine last held the item.
     """
 
     tokens_per_ms: float = 0.0
     waiting: int = 0
     last_requested_at: float = -1e9
     usual_requests_per_s: float = 0.0
+    unserved_requests: int = 0
 
     @property
     def ever_requested(self) -> bool:
--- a/src/cactusshunt/placement/fleet_view.py
+++ b/src/cactusshunt/placement/fleet_view.py
@@ -47,6 +47,16 @@
         )
         for upstream in ready
     )
+    fleet_demand.record_held(
+        service,
+        (
+            item
+            for engine in engines
+            for model, adapters in engine.models.items()
+            if model not in engine.coming
+            for item in (model, *(f"{model}/{adapter}" for adapter in adapters))
+        ),
+    )
     demand = fleet_demand.read(service, now)
     return FleetState(
         now=now,
--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -36,6 +36,8 @@
 MAX_EXAMINED_ENGINES = 36  # for one replica; keeps the time of a plan within milliseconds
 MAX_PLANNED_WAIT_S = 8.0  # until an engine is free; callers of loads after it have left
 WEIGHT_STORE_LOAD_COST_S = 1.0  # added cost, because all engines share the store's load rate
+UNSERVED_REQUEST_VALUE_PER_S = 0.25  # added to an absent model's gain for each unserved request
+MAX_UNSERVED_VALUE_PER_S = 3.0  # about what a further replica of a busy model saves
 UNCONFIRMED_ORDER_WINDOW_S = 3.0  # in which an engine may leave more orders unanswered after one
 UNCONFIRMED_ORDER_COST_S = 1.0  # added cost of an engine in that window: a few order timeouts
 SAME_ZONE_COST_S = 0.6  # spreads replicas over zones, because bytes between zones are expensive
@@ -138,6 +140,12 @@
             saved_per_s = self._replica_values.estimate_late_per_s(
                 model, effective
             ) - self._replica_values.estimate_late_per_s(model, effective + 1.0)
+            if not held:
+                # Refused callers leave no waiting request, so that a rare model would start anew.
+                saved_per_s += min(
+                    MAX_UNSERVED_VALUE_PER_S,
+                    UNSERVED_REQUEST_VALUE_PER_S * demand.unserved_requests,
+                )
             if saved_per_s > MIN_SAVED_PER_S:
                 needed.append(
                     _ReplicaRequest(model=model, saved_per_s=saved_per_s, absent=held == 0)
--- a/tests/placement/model_plan.feature
+++ b/tests/placement/model_plan.feature
@@ -30,3 +30,20 @@
     Given 60 engines without models, and 40 busy models that need replicas
     When a request waits for a rare model
     Then the plan loads the rare model
+
+  Scenario Outline: A rare model that is refused again and again comes before a further replica
+    Given an engine for one more model, and a busy model that needs a second replica
+    When a request waits for a rare model after <refused> refused ones
+    Then the plan loads the <loaded> model
+
+    Examples:
+      | refused | loaded |
+      | 0       | busy   |
+      | 12      | rare   |
+
+  Scenario: Requests for an item count as unserved until an engine holds it
+    Given a VM that reported 3 requests for a model that no engine holds
+    When it reports 2 more
+    Then 3 requests for the model are unserved
+    When an engine holds the model
+    Then 0 requests for the model are unserved
--- a/tests/steps/fleet_demand_steps.py
+++ b/tests/steps/fleet_demand_steps.py
@@ -99,3 +99,28 @@
 @then("no report lists more than {most:d} of them")
 def check_report_size(context: Any, most: int) -> None:
     assert all(len(found.items) <= most for found in context.reports)
+
+
+@given("a VM that reported {count:d} requests for a model that no engine holds")
+def report_requests(context: Any, count: int) -> None:
+    context.demand = FleetDemand()
+    context.now = NOW
+    context.total = count
+    report(context, "vm1", 1.0, 1, count)
+
+
+@when("it reports {count:d} more")
+def report_more(context: Any, count: int) -> None:
+    context.total += count
+    report(context, "vm1", 1.0, 1, context.total)
+
+
+@when("an engine holds the model")
+def hold_model(context: Any) -> None:
+    context.demand.record_held(SERVICE, ["m"])
+
+
+@then("{count:d} requests for the model are unserved")
+def check_unserved(context: Any, count: int) -> None:
+    found = context.demand.read(SERVICE, context.now)["m"].unserved_requests
+    assert found == count, found
--- a/tests/steps/model_plan_steps.py
+++ b/tests/steps/model_plan_steps.py
@@ -258,29 +258,10 @@
     assert plan_ninth_adapter(context, 0) == []
 
 
-@given("{engines:d} engines without models, and {busy:d} busy models that need replicas")
-def make_empty_engines(context: Any, engines: int, busy: int) -> None:
-    context.engine_count = engines
-    context.demand = {
-        f"b{number}": Demand(tokens_per_ms=30.0, last_requested_at=NOW, usual_requests_per_s=15.0)
-        for number in range(busy)
-    }
-
-
-@when("a request waits for a rare model")
-def request_rare_model(context: Any) -> None:
-    context.demand["rare"] = Demand(tokens_per_ms=0.5, waiting=1, last_requested_at=NOW)
-    engines = tuple(
-        EngineState(
-            name=f"e{number}",
-            availability_zone="x",
-            capacity_mb=230.0,
-            adapter_slots=8,
-            sequence=0,
-            busy=False,
-            models={},
-        )
-        for number in range(context.engine_count)
+def plan_for_rare_model(context: Any, engines: list[dict[str, Any]], refused: int) -> None:
+    """Plan while a request waits for the model ``rare``, and others as in ``context.demand``."""
+    context.demand["rare"] = Demand(
+        tokens_per_ms=0.5, waiting=1, last_requested_at=NOW, unserved_requests=refused
     )
     load_s = FACTS["m0"].load_s
     facts = {
@@ -290,7 +271,17 @@
     context.orders = plan_models(
         FleetState(
             now=NOW,
-            engines=engines,
+            engines=tuple(
+                EngineState(
+                    name=f"e{number}",
+                    availability_zone="x",
+                    adapter_slots=8,
+                    sequence=0,
+                    busy=False,
+                    **fields,
+                )
+                for number, fields in enumerate(engines)
+            ),
             facts=facts,
             demand=context.demand,
             weight_store_loads_allowed=100,
@@ -298,6 +289,36 @@
     ).orders
 
 
-@then("the plan loads the rare model")
-def check_rare_loaded(context: Any) -> None:
-    assert any(order.load and order.model == "rare" for order in context.orders), context.orders
+@given("{engines:d} engines without models, and {busy:d} busy models that need replicas")
+def make_empty_engines(context: Any, engines: int, busy: int) -> None:
+    context.engines = [{"capacity_mb": 230.0, "models": {}}] * engines
+    context.demand = {
+        f"b{number}": Demand(tokens_per_ms=30.0, last_requested_at=NOW, usual_requests_per_s=15.0)
+        for number in range(busy)
+    }
+
+
+@given("an engine for one more model, and a busy model that needs a second replica")
+def make_one_slot(context: Any) -> None:
+    context.engines = [
+        {"capacity_mb": 80.0, "models": {"busy": frozenset()}},
+        {"capacity_mb": 80.0, "models": {}},
+    ]
+    context.demand = {
+        "busy": Demand(tokens_per_ms=20.0, last_requested_at=NOW, usual_requests_per_s=10.0)
+    }
+
+
+@when("a request waits for a rare model")
+def request_rare_model(context: Any) -> None:
+    plan_for_rare_model(context, context.engines, 0)
+
+
+@when("a request waits for a rare model after {refused:d} refused ones")
+def request_refused_model(context: Any, refused: int) -> None:
+    plan_for_rare_model(context, context.engines, refused)
+
+
+@then("the plan loads the {model} model")
+def check_model_loaded(context: Any, model: str) -> None:
+    assert any(order.load and order.model == model for order in context.orders), context.orders
