Let refusals order the loads of rare models, not evict more for them

Cause: the count of unserved requests was part of the gain that also justifies evictions, so that a rare model could displace a replica of a busy one that serves more. Change: the count is part of the order in which models are planned; the gain is the requests saved, as before.

--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -36,7 +36,7 @@
 MAX_EXAMINED_ENGINES = 36  # for one replica; keeps the time of a plan within milliseconds
 MAX_PLANNED_WAIT_S = 8.0  # until an engine is free; callers of loads after it have left
 WEIGHT_STORE_LOAD_COST_S = 1.0  # added cost, because all engines share the store's load rate
-UNSERVED_REQUEST_VALUE_PER_S = 0.25  # added to an absent model's gain for each unserved request
+UNSERVED_REQUEST_VALUE_PER_S = 0.25  # priority of an absent model for each unserved request
 MAX_UNSERVED_VALUE_PER_S = 3.0  # about what a further replica of a busy model saves
 UNCONFIRMED_ORDER_WINDOW_S = 3.0  # in which an engine may leave more orders unanswered after one
 UNCONFIRMED_ORDER_COST_S = 1.0  # added cost of an engine in that window: a few order timeouts
@@ -50,11 +50,13 @@
     """A model that needs a further replica.
 
     ``saved_per_s`` is the requests a second that the replica would keep from being late or lost;
+    ``priority`` orders requests; for an absent model it also grows with the unserved requests.
     ``absent`` is set if no engine holds or loads the model.
     """
 
     model: str
     saved_per_s: float
+    priority: float
     absent: bool
 
 
@@ -128,7 +130,7 @@
             self._model_zones.update((model, engine.availability_zone) for model in held)
 
     def find_replica_requests(self) -> list[_ReplicaRequest]:
-        """Return the models that need a further replica, those with the largest gain first."""
+        """Return the models that need a further replica, those with the highest priority first."""
         needed = []
         for model, demand in self._state.demand.items():
             held = self.expected.count[model]
@@ -140,17 +142,21 @@
             saved_per_s = self._replica_values.estimate_late_per_s(
                 model, effective
             ) - self._replica_values.estimate_late_per_s(model, effective + 1.0)
-            if not held:
+            if saved_per_s > MIN_SAVED_PER_S:
                 # Refused callers leave no waiting request, so that a rare model would start anew.
-                saved_per_s += min(
+                unserved_value_per_s = min(
                     MAX_UNSERVED_VALUE_PER_S,
                     UNSERVED_REQUEST_VALUE_PER_S * demand.unserved_requests,
                 )
-            if saved_per_s > MIN_SAVED_PER_S:
                 needed.append(
-                    _ReplicaRequest(model=model, saved_per_s=saved_per_s, absent=held == 0)
+                    _ReplicaRequest(
+                        model=model,
+                        saved_per_s=saved_per_s,
+                        priority=saved_per_s + (0.0 if held else unserved_value_per_s),
+                        absent=held == 0,
+                    )
                 )
-        return sorted(needed, key=lambda found: -found.saved_per_s)
+        return sorted(needed, key=lambda found: -found.priority)
 
     def order_reserved_loads(self) -> None:
         """Order the loads for which memory was freed, the most urgent models first."""
