--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -39,9 +39,9 @@
 
 
 class PlatformDeployment:
-    """A store, two engines, a plain service and two nodes, on ports from ``first_port`` on."""
+    """A store, engines, a plain service and ``nodes`` nodes, on ports from ``first_port`` on."""
 
-    def __init__(self, *, first_port: int) -> None:
+    def __init__(self, *, first_port: int, nodes: int = 2) -> None:
         self._first_port = first_port
         self._folder = tempfile.TemporaryDirectory(prefix="cactusshunt-")
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -49,7 +49,7 @@
         self._version = 0
         self.store = first_port
         self.upstream_ports = {"e1": first_port + 1, "e2": first_port + 2, "s1": first_port + 3}
-        self.caller_ports = {"n1": first_port + 10, "n2": first_port + 20}
+        self.caller_ports = {f"n{n}": first_port + 10 * n for n in range(1, nodes + 1)}
 
     def start(self) -> None:
         """Start all processes and wait until the nodes are ready and know the order holder."""
@@ -138,6 +138,10 @@
         """Set the fault of an upstream's next ``count`` requests, or make it drain."""
         call(self.upstream_ports[engine], "POST", "/test/fault", {"kind": kind, "count": count})
 
+    def name_limit(self, engine: str, value: str | None, every: int = 1) -> None:
+        """Make an upstream name a request limit in every ``every``-th answer; ``None`` ends it."""
+        call(self.upstream_ports[engine], "POST", "/test/limit", {"value": value, "every": every})
+
     def list_executed_requests(self) -> list[str]:
         """Return the IDs of all requests that upstreams ran."""
         return [run for name in self.upstream_ports for run in self.state_of(name)["runs"]]
--- a/src/cactusshunt/exceptions.py
+++ b/src/cactusshunt/exceptions.py
@@ -87,6 +87,10 @@
     """The request was sent but the upstream sent nothing before the deadline."""
 
 
+class HeaderValueError(UpstreamError):
+    """A header of an upstream's answer has a value that cannot be read."""
+
+
 class AnswerMismatchError(UpstreamError):
     """An upstream sent the answer of another attempt."""
 
--- /dev/null
+++ b/src/cactusshunt/limits/__init__.py
@@ -0,0 +1,3 @@
+"""Request limits that upstreams name, kept by all VMs together."""
+
+from __future__ import annotations
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -16,6 +16,7 @@
 from cactusshunt.exceptions import SettingsError
 from cactusshunt.http1.caller_connection import CallerConnection
 from cactusshunt.http1.connection_pool import ConnectionPool
+from cactusshunt.limits.request_limits import RequestLimits
 from cactusshunt.membership.announcer import DEMAND_INTERVAL_S
 from cactusshunt.membership.announcer import STATUS_INTERVAL_S
 from cactusshunt.membership.announcer import Announcer
@@ -116,6 +117,7 @@
             spare=bounds.budget_min_retries,
             started_at=reactor.seconds(),
         )
+        self._limits = RequestLimits(reactor=reactor, vm=settings.node)
         self._picker = UpstreamPicker(
             reactor=reactor,
             directory=self._directory,
@@ -145,6 +147,7 @@
             directory=self._directory,
             picker=self._picker,
             allowance=self._allowance,
+            limits=self._limits,
         )
         self._callers = CallerRequests(
             reactor=reactor, relay=relay, meter=self._meter, grace_s=bounds.grace_s
--- a/src/cactusshunt/platform/headers.py
+++ b/src/cactusshunt/platform/headers.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import re
+
+from cactusshunt.exceptions import HeaderValueError
+
 READY_PATH = b"/v1/readyz"  # polled by the platform's load balancer once a second
 REQUEST_ID = b"x-request-id"  # set by the caller; the upstream returns it
 DEADLINE = b"x-deadline-ms"  # ms left for the request, a duration and not a point in time
@@ -10,6 +14,7 @@
 INSTANCE_ID = b"x-instance-id"  # name of the upstream that answers
 NOT_RUN = b"x-not-executed"  # set by an upstream that did not run the request; any value
 SERVER_LOAD = b"x-server-load"  # running requests, waiting requests, slots
+REQUEST_LIMIT = b"server-limit"  # requests a second that an upstream takes from all VMs together
 MODEL = b"x-model"  # MODEL or MODEL/ADAPTER
 TOKEN_COUNT = b"x-token-count"  # prompt tokens, maximum output tokens
 PROMPT_PREFIX = b"x-prompt-prefix"  # ID:TOKENS of each part; those shared with other prompts first
@@ -55,6 +60,7 @@
 """Refusals; if ``x-not-executed`` is missing, they count as a request that may have run."""
 
 Headers = list[tuple[bytes, bytes]]
+_DECIMAL_NUMBER = re.compile(rb"\d{1,12}(\.\d{1,12})?")
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
@@ -77,3 +83,19 @@
     """Return the headers to forward: not in ``dropped`` nor named by ``Connection``."""
     hop_names = read_connection_options(headers)
     return [(k, v) for k, v in headers if k.lower() not in dropped and k.lower() not in hop_names]
+
+
+def read_request_limit(headers: Headers) -> float | None:
+    """Return the limit that an answer names, in requests a second; ``None`` if it names none.
+
+    Raises ``HeaderValueError`` for anything but a decimal number without sign and exponent.
+    """
+    value = find_header(headers, REQUEST_LIMIT)
+    if value is None:
+        return None
+    if _DECIMAL_NUMBER.fullmatch(value.strip()) is None:
+        raise HeaderValueError(
+            reason=f"Server-Limit is {value[:40]!r}, not a decimal number.",
+            remedy="The limit named before, if any, stays in force.",
+        )
+    return float(value)
--- a/src/cactusshunt/requests/answer_sink.py
+++ b/src/cactusshunt/requests/answer_sink.py
@@ -19,7 +19,8 @@
 
     ``longest_gap_s`` is the longest pause between two chunks forwarded to the caller;
     ``forwarding_started`` means that the caller has received a part of the answer;
-    ``rejected`` means that ``receive_head`` rejected the latest answer.
+    ``rejected`` means that ``receive_head`` rejected the latest answer; ``on_head`` is called when
+    it accepted one.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         self.headers: Headers = []
         self.rejected = False
         self.on_first_byte: Callable[[], None] | None = None
+        self.on_head: Callable[[], None] = lambda: None
 
     @property
     def body(self) -> bytes:
@@ -70,6 +72,7 @@
             self.rejected = True
             return False
         if not self.succeeded:
+            self.on_head()
             return True
         signed = names.find_header(headers, names.RESPONSE_SEAL) is not None
         encoded = names.find_header(headers, names.CONTENT_ENCODING) is not None
@@ -77,6 +80,7 @@
             self.rejected = True
             return False
         self._forwards_body = self._streams
+        self.on_head()
         return True
 
     def receive_body_part(self, data: bytes) -> None:
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -28,6 +28,7 @@
 
     from cactusshunt.http1.connection_pool import ConnectionPool
     from cactusshunt.http1.upstream_connection import UpstreamConnection
+    from cactusshunt.limits.request_limits import RequestLimits
     from cactusshunt.requests.admission import Refusal
     from cactusshunt.requests.job import Job
     from cactusshunt.requests.retry_allowance import RetryAllowance
@@ -53,12 +54,14 @@
         directory: UpstreamDirectory,
         picker: UpstreamPicker,
         allowance: RetryAllowance,
+        limits: RequestLimits,
     ) -> None:
         self._reactor = reactor
         self._pool = pool
         self._directory = directory
         self._picker = picker
         self._allowance = allowance
+        self._limits = limits
 
     async def run(self, job: Job) -> None:
         """Handle a request until it is answered, by its deadline at the latest."""
@@ -141,6 +144,7 @@
         )
         job.sink.reset()
         job.attempt_first_byte_at = 0.0
+        job.sink.on_head = lambda: self._limits.record_answer(upstream, job.sink.headers)
         job.sink.on_first_byte = lambda: self._record_first_byte(job, picked, upstream, attempt)
         upstream.begin(attempt)
         if job.generation is not None:
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -8,8 +8,10 @@
 ``POST /test/fault`` sets the fault of the next requests: ``refuse`` answers 503 without running the
 request, ``vanish`` runs it and aborts the connection, ``tear`` aborts a stream in its fourth event,
 ``foreign`` answers with the ID of another request. ``drain`` takes effect at once: the engine's
-record in the store changes to draining. ``GET /test/runs`` lists the IDs of the requests
-that ran; standard output has a line with ID and time for each.
+record in the store changes to draining. ``POST /test/limit`` sets the text of ``Server-Limit`` in
+every ``every``-th answer from then on; ``null`` ends it. ``GET /test/runs`` lists the IDs of the
+requests that ran, and under ``arrivals`` ID, time and whether the answer names a limit of each
+request that arrived; standard output has a line with ID and time for each run.
 """
 
 from __future__ import annotations
@@ -60,6 +62,9 @@
         self._faults: list[str] = []
         self._runs: list[str] = []
         self._cancelled: list[str] = []
+        self._limit: str | None = None
+        self._limit_every = 1
+        self._arrivals: list[tuple[str, float, bool]] = []
         self.overcommitted = False
         reactor.callWhenRunning(self.register)
 
@@ -88,9 +93,14 @@
                 self._faults = []
                 self.register("draining")
             return {}
+        if path == "/test/limit":
+            body = read_json(request)
+            self._limit, self._limit_every = body["value"], int(body.get("every", 1))
+            return {}
         if path == "/test/runs":
             return {
                 "runs": self._runs,
+                "arrivals": self._arrivals,
                 "cancelled": self._cancelled,
                 "overcommitted": self.overcommitted,
             }
@@ -134,6 +144,7 @@
 
     def _run(self, request: Request) -> Any:
         request_id = request.getHeader("X-Request-Id") or ""
+        self._name_limit(request, request_id)
         model = request.getHeader("X-Model")
         if model is not None and model not in self._models:
             return encode_answer(request, {}, 421)
@@ -156,6 +167,12 @@
         reactor.callLater(EVENT_INTERVAL_S, self._send_event, request, first + 1, fault)
         return NOT_DONE_YET
 
+    def _name_limit(self, request: Request, request_id: str) -> None:
+        named = self._limit is not None and len(self._arrivals) % self._limit_every == 0
+        self._arrivals.append((request_id, time.time(), named))
+        if named:
+            request.setHeader("Server-Limit", self._limit)
+
     def _send_event(self, request: Request, number: int, fault: str) -> None:
         if request._disconnected:
             return
