Take the node's time from a clock that neither jumps nor stops in suspension

Found while looking for permissions that outlast their end. Twisted's reactors take the time of day. When a VM's time of day was set back, its periodic tasks stood still for as long: the lease lapsed, and a tenure, whose end is a reactor time, seemed valid for longer while another VM could be elected.

The node's reactor now reads CLOCK_BOOTTIME, which counts time in which the VM is suspended, as the time of day did.

--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -78,11 +78,19 @@
         self._spawn(name, "-m", "stand_ins.platform_engine", name, *ports, *extra_arguments)
 
     def start_node(
-        self, name: str, front: int = 0, metrics: int = 0, *, log_is_read: bool = True
+        self,
+        name: str,
+        front: int = 0,
+        metrics: int = 0,
+        *,
+        log_is_read: bool = True,
+        program: tuple[str, ...] = (str(ROOT / "deploy" / "node.py"),),
+        arguments: tuple[str, ...] = (),
     ) -> None:
         """Start a node, on its usual ports unless others are given.
 
         With ``log_is_read=False`` its output goes to a pipe that nobody reads, so that it fills up.
+        ``program`` gets the metrics port and ``arguments``.
         """
         front = front or self.caller_ports[name]
         path = Path(self._folder.name) / f"{name}.toml"
@@ -97,8 +105,9 @@
         path.write_text(text, encoding="utf-8")
         self._spawn(
             name,
-            str(ROOT / "deploy" / "node.py"),
+            *program,
             str(metrics or front + 3),
+            *arguments,
             environment={"CACTUSSHUNT_BOOT": str(path)},
             log_is_read=log_is_read,
         )
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -47,6 +47,7 @@
 from cactusshunt.requests.upstream_picker import UpstreamPicker
 from cactusshunt.routing.upstream_directory import UpstreamDirectory
 from cactusshunt.tasks.periodic import start_coroutine
+from cactusshunt.tasks.steady_clock import use_steady_clock
 from cactusshunt.telemetry.node_telemetry import NodeTelemetry
 
 if TYPE_CHECKING:
@@ -352,6 +353,7 @@
     from twisted.internet import reactor as installed_reactor
 
     reactor: Any = installed_reactor
+    use_steady_clock(reactor)
     try:
         settings = read_boot_settings(path)
     except SettingsError as error:
--- a/tests/platform/node.feature
+++ b/tests/platform/node.feature
@@ -74,6 +74,12 @@
     When a caller disconnects in the middle of its stream
     Then its request is cancelled at the engine within 0.5 seconds
 
+  Scenario: A node whose time of day is set back keeps its lease and its deadlines
+    Given the node deployment
+    When a node runs whose time of day is set back by 20 seconds
+    Then it stays registered for 4 seconds
+    And it refuses a request for an unknown model before its deadline
+
   Scenario: Metrics agree with the log and show the state of the process
     Given the node deployment
     When 12 callers stream from model "captions" through both nodes
--- a/tests/steps/node_steps.py
+++ b/tests/steps/node_steps.py
@@ -25,6 +25,7 @@
 
 FIRST_PORT = 9300
 IN_FORCE_S = 2.0
+STEP_AFTER_S = 3.0  # a node is registered and knows its upstreams by then
 
 
 @given("the node deployment")
@@ -328,3 +329,35 @@
     wait_until(
         lambda: context.request_id in context.nodes.list_cancelled_requests(), timeout_s=seconds
     )
+
+
+@when("a node runs whose time of day is set back by {step_s:d} seconds")
+def step_clock(context: Any, step_s: int) -> None:
+    deployment = context.nodes
+    deployment.caller_ports["n3"] = FIRST_PORT + 30
+    deployment.start_node(
+        "n3",
+        program=("-m", "stand_ins.stepped_clock"),
+        arguments=(str(step_s), str(STEP_AFTER_S)),
+    )
+    stepped_at = time.monotonic() + STEP_AFTER_S
+    wait_until(lambda: "n3" in deployment.dump("n1")["peers"], timeout_s=STEP_AFTER_S)
+    time.sleep(max(0.0, stepped_at - time.monotonic()))
+
+
+@then("it stays registered for {seconds:g} seconds")
+def check_stays_registered(context: Any, seconds: float) -> None:
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        assert "n3" in context.nodes.dump("n1")["peers"]
+        time.sleep(0.1)
+
+
+@then("it refuses a request for an unknown model before its deadline")
+def check_refused_before_deadline(context: Any) -> None:
+    headers = {"Host": "h", "X-Request-Id": uuid.uuid4().hex, "X-Model": "nobody"}
+    headers["X-Deadline-Ms"] = "2000"
+    began_at = time.monotonic()
+    port = context.nodes.caller_ports["n3"]
+    assert call(port, "POST", "/s/x", {"text": "x"}, headers)[0] == 503
+    assert time.monotonic() - began_at < 2.0
