Keep the request limits of upstreams with permits from delegated shares

Callers saw nothing at first: the upstream in need did. The class is a bound on all VMs together that each VM keeps, or does not keep, by itself.

Now a limited upstream gets a request only with a permit. Each VM has an equal share of each limit and delegates it to one issuer at a time, so that shares never add up to more than the limit, whatever VMs know of each other. The request waits where the permit comes in time, goes to another engine where that is faster, and is refused at once otherwise, with a time to return.

The node logs limit_usage by upstream and attempt_limited by request; dump, metrics, report and explain show them.

--- a/src/cactusshunt/console/commands/report.py
+++ b/src/cactusshunt/console/commands/report.py
@@ -9,6 +9,8 @@
 
 from cactusshunt.console.item_report import collect_item_histories
 from cactusshunt.console.item_report import format_never_answered
+from cactusshunt.console.limit_report import format_limits
+from cactusshunt.console.limit_report import summarize_limits
 from cactusshunt.console.log_chart import draw_chart
 from cactusshunt.console.log_lines import read_log_lines
 from cactusshunt.console.log_report import format_report
@@ -46,6 +48,8 @@
     for row in format_report(report):
         typer.echo(row)
     typer.echo("")
+    for row in format_limits(summarize_limits(lines, interval), interval):
+        typer.echo(row)
     for row in format_never_answered(collect_item_histories(lines)):
         typer.echo(row)
     if image is None:
--- a/src/cactusshunt/console/log_report.py
+++ b/src/cactusshunt/console/log_report.py
@@ -26,6 +26,7 @@
     "store_regained",
     "upstream_suspected",
     "upstream_gone",
+    "limit_named",
     "peer_lost",
     "stop",
     "start",
--- a/src/cactusshunt/console/request_timeline.py
+++ b/src/cactusshunt/console/request_timeline.py
@@ -21,6 +21,8 @@
     "upstream_leaving",
     "upstream_restarted",
     "upstream_suspected",
+    "limit_named",
+    "limit_usage",
 )
 ORDER_EVENTS = ("order", "order_done", "items_unplaced")
 
@@ -43,6 +45,7 @@
         own[0]["at"] - float(own[0].get("waited_ms") or own[0].get("after_ms") or 0) / 1000.0
     )
     upstreams = {line["upstream"] for line in own if line.get("upstream")}
+    upstreams |= {name for line in own for name in line.get("without_permit") or ()}
     models = {str(line["item"]).partition("/")[0] for line in own if line.get("item")}
     earlier_events: dict[tuple[str, str], LogLine] = {}
     timeline = []
--- /dev/null
+++ b/src/cactusshunt/limits/issuer_choice.py
@@ -0,0 +1,97 @@
+"""Chooses, for each limited upstream, the VM that issues permits for this VM's share.
+
+All VMs rank the issuers of an upstream alike, so that one usually gets all shares. A share is
+delegated to one issuer at a time: the next one gets it when the last delegation has ended.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cactusshunt.decisions.rendezvous import rank_nodes
+from cactusshunt.limits.permit_issuer import DELEGATION_LIFETIME_S
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+SILENCE_S = 1.0  # an issuer that leaves demand unanswered for this long is not asked for a while
+MIN_UNANSWERED = 3  # messages in that time, since single datagrams may be lost
+SILENT_ISSUER_PAUSE_S = 3.0
+MAX_DATAGRAM_DELAY_S = 0.25  # between VMs, with a full link; a delegation may begin that much later
+
+
+@dataclass(frozen=True, kw_only=True)
+class IssuerChoice:
+    """The issuer to ask for permits; ``delegates`` tells whether it also gets this VM's share."""
+
+    issuer: str
+    delegates: bool
+
+
+class IssuerChooser:
+    """Delegations of this VM's shares, and which issuers answer it; times are reactor time."""
+
+    def __init__(self, *, vm: str) -> None:
+        self._vm = vm
+        self._candidates: tuple[str, ...] = ()
+        self._ranked: dict[str, list[str]] = {}
+        self._delegated: dict[str, tuple[str, float]] = {}
+        # by issuer, the time of the first message without an answer and their number
+        self._unanswered: dict[str, tuple[float, int]] = {}
+        self._silent_until: dict[str, float] = {}
+
+    def set_candidates(self, candidates: Sequence[str]) -> None:
+        """Set the VMs that can issue permits, this one included."""
+        ordered = tuple(sorted(candidates))
+        if ordered != self._candidates:
+            self._candidates = ordered
+            self._ranked.clear()
+
+    def choose(self, upstream: str, now: float) -> IssuerChoice | None:
+        """Return the issuer for an upstream, ``None`` while another delegation has to end."""
+        preferred = self._find_preferred(upstream, now)
+        if preferred is None:
+            return None
+        delegated = self._delegated.get(upstream)
+        if delegated is not None and delegated[0] != preferred and now < delegated[1]:
+            earlier = delegated[0]
+            if earlier in self._candidates and not self._is_silent(earlier, now):
+                return IssuerChoice(issuer=earlier, delegates=False)
+            return None
+        return IssuerChoice(issuer=preferred, delegates=True)
+
+    def record_sent(self, upstream: str, choice: IssuerChoice, *, asks: bool, now: float) -> None:
+        """Record a message to an issuer; ``asks`` tells whether it has to answer."""
+        if choice.delegates:
+            ends_at = now + DELEGATION_LIFETIME_S + MAX_DATAGRAM_DELAY_S
+            self._delegated[upstream] = (choice.issuer, ends_at)
+        if asks:
+            since, count = self._unanswered.get(choice.issuer, (now, 0))
+            self._unanswered[choice.issuer] = (since, count + 1)
+
+    def record_answer(self, issuer: str) -> None:
+        """Record that an issuer answered."""
+        self._unanswered.pop(issuer, None)
+        self._silent_until.pop(issuer, None)
+
+    def forget(self, upstream: str) -> None:
+        """Forget an upstream that has left or no longer has a limit."""
+        self._ranked.pop(upstream, None)
+        self._delegated.pop(upstream, None)
+
+    def _find_preferred(self, upstream: str, now: float) -> str | None:
+        ranked = self._ranked.get(upstream)
+        if ranked is None:
+            ranked = rank_nodes(self._candidates, f"permits/{upstream}")
+            self._ranked[upstream] = ranked
+        return next((vm for vm in ranked if not self._is_silent(vm, now)), None)
+
+    def _is_silent(self, vm: str, now: float) -> bool:
+        if vm == self._vm:
+            return False
+        since, count = self._unanswered.get(vm, (now, 0))
+        if count >= MIN_UNANSWERED and now - since >= SILENCE_S:
+            del self._unanswered[vm]
+            self._silent_until[vm] = now + SILENT_ISSUER_PAUSE_S
+        return now < self._silent_until.get(vm, now)
--- a/src/cactusshunt/membership/membership_task.py
+++ b/src/cactusshunt/membership/membership_task.py
@@ -273,6 +273,15 @@
         waits_s = round(self._tenure.begins_at - now, 3)
         log_event("right_won", token=item.revision, former=former, waits_s=waits_s)
 
+    def count_recent_vms(self, now: float) -> int:
+        """Return the number of VMs registered within the retention time, this one included."""
+        return len(self._list_zones_of_vms(now))
+
+    @property
+    def store_was_read(self) -> bool:
+        """Return whether the other registered VMs are known."""
+        return self._store_was_read
+
     def _list_zones_of_vms(self, now: float) -> list[str]:
         """Return the zones of this VM and of all VMs registered within the retention time."""
         for vm in self._link.peers:
--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -95,7 +95,77 @@
     planned_loads: list[PlannedLoads] = []
 
 
-Message = Status | DemandReport | PlacementUpdate
+class UpstreamLimit(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The request limit of an upstream, as a VM knows it.
+
+    ``born`` is the start of the upstream as its store entry gives it; ``per_s`` is the limit in
+    requests a second, ``None`` if it was lifted; ``source`` is the VM whose answer showed it, and
+    ``age_ms`` the time since the latest answer that did.
+    """
+
+    upstream: str
+    born: int
+    per_s: float | None
+    source: str
+    age_ms: int
+
+
+class LimitReport(msgspec.Struct, frozen=True, kw_only=True, tag="l", array_like=True):
+    """Request limits that one VM knows; with ``forward_in_zone`` as in ``PlacementUpdate``."""
+
+    vm: str
+    limits: list[UpstreamLimit]
+    forward_in_zone: bool = False
+
+
+class UpstreamDemand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One VM's requests that wait for permits of a limited upstream, by priority.
+
+    With ``delegates`` the receiver also issues permits for the VM's share of the limit.
+    """
+
+    limit: UpstreamLimit
+    delegates: bool
+    waiting: dict[int, int] = {}
+
+
+class PermitRequest(msgspec.Struct, frozen=True, kw_only=True, tag="q", array_like=True):
+    """What one VM asks of the issuer of permits; ``request_number`` is never used again."""
+
+    vm: str
+    request_number: int
+    demands: list[UpstreamDemand]
+
+
+class UpstreamPermits(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Permits for one upstream, and what determines how soon there are more.
+
+    ``waiting_elsewhere`` counts the waiting requests of other VMs by priority, ``asking_vms`` the
+    VMs that wait; ``saved`` permits may be issued at once, ``per_s`` more each second.
+    """
+
+    upstream: str
+    count: int
+    per_s: float
+    saved: float
+    asking_vms: int
+    waiting_elsewhere: dict[int, int] = {}
+
+
+class PermitGrant(msgspec.Struct, frozen=True, kw_only=True, tag="g", array_like=True):
+    """Permits that answer a ``PermitRequest`` of the receiver.
+
+    ``grant_number`` increases with each grant of an issuer, so that a receiver recognises a
+    duplicate. The permits end a fixed time after the receiver sent that request.
+    """
+
+    vm: str
+    grant_number: int
+    request_number: int
+    permits: list[UpstreamPermits]
+
+
+Message = Status | DemandReport | PlacementUpdate | LimitReport | PermitRequest | PermitGrant
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
--- a/src/cactusshunt/membership/peer_link.py
+++ b/src/cactusshunt/membership/peer_link.py
@@ -13,6 +13,9 @@
 
 from cactusshunt.membership.broadcast import choose_forwarders
 from cactusshunt.membership.messages import DemandReport
+from cactusshunt.membership.messages import LimitReport
+from cactusshunt.membership.messages import PermitGrant
+from cactusshunt.membership.messages import PermitRequest
 from cactusshunt.membership.messages import PlacementUpdate
 from cactusshunt.membership.messages import Status
 from cactusshunt.membership.messages import decode_message
@@ -30,15 +33,25 @@
     Status: "status",
     DemandReport: "demand",
     PlacementUpdate: "placement",
+    LimitReport: "limits",
+    PermitRequest: "permit_requests",
+    PermitGrant: "permits",
 }
+# What a VM's messages include beyond status, demand and placement: 1 nothing, 2 request limits.
+MESSAGE_VERSION = 2
+LIMITS_MESSAGE_VERSION = 2
 
 
 class PeerRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """The record under which a VM registers in the store, bound to its lease."""
+    """The record under which a VM registers in the store, bound to its lease.
+
+    ``message_version`` is missing in the records of earlier versions of the node.
+    """
 
     address: str
     port: int
     availability_zone: str
+    message_version: int = 1
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -97,17 +110,26 @@
                 continue
             self.bytes_sent[MESSAGE_NAMES[type(message)]] += len(data)
 
-    def broadcast(self, update: PlacementUpdate) -> None:
+    def list_limit_peers(self) -> list[str]:
+        """Return the peers that understand messages on request limits."""
+        return [
+            vm
+            for vm, peer in self._peers.items()
+            if peer.record.message_version >= LIMITS_MESSAGE_VERSION
+        ]
+
+    def broadcast(self, update: PlacementUpdate | LimitReport) -> None:
         """Send an update to all peers, in a large fleet via one forwarder in each zone."""
+        peers = self.list_limit_peers() if isinstance(update, LimitReport) else list(self._peers)
         if not self.is_large_fleet:
-            self.send(update, list(self._peers))
+            self.send(update, peers)
             return
         self._broadcasts += 1
-        zones = {vm: peer.record.availability_zone for vm, peer in self._peers.items()}
+        zones = {vm: self._peers[vm].record.availability_zone for vm in peers}
         forwarders = choose_forwarders(zones, self._broadcasts)
         self.send(msgspec.structs.replace(update, forward_in_zone=True), forwarders)
 
-    def forward_in_zone(self, update: PlacementUpdate, own_zone: str) -> None:
+    def forward_in_zone(self, update: PlacementUpdate | LimitReport, own_zone: str) -> None:
         """Forward an update from another zone to the peers in this zone."""
         same_zone = [
             vm
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -23,8 +23,12 @@
 from cactusshunt.membership.membership_task import LEASE_S
 from cactusshunt.membership.membership_task import MembershipTask
 from cactusshunt.membership.messages import DemandReport
+from cactusshunt.membership.messages import LimitReport
+from cactusshunt.membership.messages import PermitGrant
+from cactusshunt.membership.messages import PermitRequest
 from cactusshunt.membership.messages import PlacementUpdate
 from cactusshunt.membership.messages import Status
+from cactusshunt.membership.peer_link import MESSAGE_VERSION
 from cactusshunt.membership.peer_link import PeerLink
 from cactusshunt.membership.peer_link import PeerRecord
 from cactusshunt.node_log import flush_log
@@ -96,6 +100,7 @@
                 address=settings.ip,
                 port=settings.port_range[0],  # of the datagrams between VMs
                 availability_zone=settings.zone,
+                message_version=MESSAGE_VERSION,
             ),
             lease_s=max(LEASE_S, settings.platform.ttl_min_ms / 1000.0),
             # lease_ms bounds how soon a former order holder may order again; LEASE_S is the lease
@@ -118,14 +123,22 @@
             spare=bounds.budget_min_retries,
             started_at=reactor.seconds(),
         )
-        self._limits = RequestLimits(reactor=reactor, vm=settings.node)
+        self._limits = RequestLimits(
+            reactor=reactor,
+            vm=settings.node,
+            directory=self._directory,
+            membership=self._membership,
+            link=self._link,
+        )
         self._picker = UpstreamPicker(
             reactor=reactor,
             directory=self._directory,
             meter=self._meter,
             availability_zone=settings.zone,
             trigger_planning=lambda: self._announcer.send_demand_and_plan_soon(),
+            limits=self._limits,
         )
+        self._limits.on_permits = self._picker.wake
         self._directory.on_change = self._picker.wake
         self._directory.wake_later = lambda s: reactor.callLater(s, self._picker.wake)
         self._directory.on_expired = lambda upstream: self._pool.close_idle_connections(
@@ -170,6 +183,7 @@
             picker=self._picker,
             allowance=self._allowance,
             link=self._link,
+            limits=self._limits,
         )
         self._telemetry = NodeTelemetry(read_gauges=self._state.read_gauges, statsd=settings.statsd)
 
@@ -276,8 +290,14 @@
         if isinstance(message, DemandReport):
             self._handle_demand(message)
             return
+        if isinstance(message, PermitRequest | PermitGrant):
+            self._limits.apply_message(message)
+            return
         if message.forward_in_zone:
             self._link.forward_in_zone(message, self._settings.zone)
+        if isinstance(message, LimitReport):
+            self._limits.apply_message(message)
+            return
         for engine_items in message.engines:
             self._directory.apply_engine_items(engine_items, message.token)
         for loads in message.planned_loads:
--- a/src/cactusshunt/node_state.py
+++ b/src/cactusshunt/node_state.py
@@ -13,6 +13,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from cactusshunt.limits.request_limits import RequestLimits
     from cactusshunt.membership.membership_task import MembershipTask
     from cactusshunt.membership.peer_link import PeerLink
     from cactusshunt.placement.order_task import OrderTask
@@ -39,6 +40,7 @@
         picker: UpstreamPicker,
         allowance: RetryAllowance,
         link: PeerLink,
+        limits: RequestLimits,
     ) -> None:
         self._vm = vm
         self._clock = clock
@@ -49,6 +51,7 @@
         self._picker = picker
         self._allowance = allowance
         self._link = link
+        self._limits = limits
         self._version = 0
         self._version_at = clock()
         self.stopping = False
@@ -87,6 +90,24 @@
                 }
                 for upstream in self._directory.all()[:MAX_LISTED]
             ],
+            "request_limits": [
+                {
+                    "upstream": limited.name,
+                    "per_s": limited.limit.per_s,
+                    "source": limited.limit.source,
+                    "known_s": round(now - limited.limit.known_since, 3),
+                    "confirmed_s": round(now - limited.limit.observed_at, 3),
+                    "issuer": limited.issuer,
+                    "share_per_s": limited.share_per_s,
+                    "permits": limited.pool.count(now),
+                    "permits_end_ms": limited.pool.longest_left_ms(now),
+                    "waiting": limited.waiting,
+                    "sent": limited.usage.sent_total,
+                    "held_back": limited.usage.held_back_total,
+                    "refused": limited.usage.refused_total,
+                }
+                for limited in list(self._limits.list_all().values())[:MAX_LISTED]
+            ],
         }
 
     def read_gauges(self) -> Iterable[GaugeReading]:
@@ -130,6 +151,31 @@
             label="message",
             values={name: float(sent) for name, sent in self._link.bytes_sent.items()},
         )
+        limited = list(self._limits.list_all().values())[:MAX_LISTED]
+        for name, text, values in (
+            (
+                "request_limit_per_second",
+                "Request limit that an upstream named.",
+                [found.limit.rate_per_s for found in limited],
+            ),
+            (
+                "permits_waiting",
+                "Requests that wait for permits.",
+                [found.waiting for found in limited],
+            ),
+            (
+                "limited_requests_sent",
+                "Requests sent since the limit became known.",
+                [found.usage.sent_total for found in limited],
+            ),
+            (
+                "limited_requests_held_back",
+                "Requests sent elsewhere or delayed since the limit became known.",
+                [found.usage.held_back_total for found in limited],
+            ),
+        ):
+            by_upstream = zip((found.name for found in limited), map(float, values), strict=True)
+            yield GaugeReading(name=name, text=text, label="upstream", values=dict(by_upstream))
         yield GaugeReading(
             name="retries_left",
             text="Retries left in the current budget window.",
--- a/src/cactusshunt/requests/admission.py
+++ b/src/cactusshunt/requests/admission.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 
 MAX_LATENCY_TARGET_FACTOR = 1.3  # largest accepted expected latency / latency objective
+# The queue for permits grows to the accepted latency in overload, so that must meet the objective.
+MAX_PERMIT_LATENCY_TARGET_FACTOR = 0.8
 MAX_LATENCY_WAIT_FRACTION = 0.7  # largest accepted expected latency / time the caller still waits
 MAX_PLACEMENT_WAIT_FRACTION = 0.65  # longest wait for a load / time the caller waits from its start
 RETRY_AFTER_FRACTION = 0.33  # largest Retry-After / time for which the caller waits
@@ -37,13 +39,35 @@
     route's latency objective, ``left_ms`` the time for which the caller still waits for a first
     byte.
     """
-    limit_ms = min(target_ms * MAX_LATENCY_TARGET_FACTOR, left_ms * MAX_LATENCY_WAIT_FRACTION)
+    limit_ms = compute_latency_limit_ms(target_ms=target_ms, left_ms=left_ms)
     if expected_ms <= limit_ms:
         return None
     retry_after_s = limit_retry_after((expected_ms - limit_ms) / 1000.0, left_ms)
     return Refusal(reason="overloaded", retry_after_s=retry_after_s)
 
 
+def check_permit_wait(*, expected_ms: float, target_ms: float, left_ms: float) -> Refusal | None:
+    """Return a refusal if a request limit makes even the best upstream answer too late.
+
+    ``expected_ms`` includes the wait for a permit. The Retry-After is the time after which the wait
+    would be short enough, however long the caller waits: an earlier retry would be refused again.
+    """
+    limit_ms = min(
+        target_ms * MAX_PERMIT_LATENCY_TARGET_FACTOR, left_ms * MAX_LATENCY_WAIT_FRACTION
+    )
+    if expected_ms <= limit_ms:
+        return None
+    return Refusal(
+        reason="request limit",
+        retry_after_s=max(MIN_RETRY_AFTER_S, (expected_ms - limit_ms) / 1000.0),
+    )
+
+
+def compute_latency_limit_ms(*, target_ms: float, left_ms: float) -> float:
+    """Return the largest accepted expected time to the first byte, in ms."""
+    return min(target_ms * MAX_LATENCY_TARGET_FACTOR, left_ms * MAX_LATENCY_WAIT_FRACTION)
+
+
 def check_placement_wait(
     *, now: float, waiting_since: float, left_ms: float, expected_at: float | None
 ) -> Refusal | None:
--- a/src/cactusshunt/requests/job.py
+++ b/src/cactusshunt/requests/job.py
@@ -20,6 +20,20 @@
     from cactusshunt.requests.outcome import Outcome
 
 
+@dataclass(frozen=True, kw_only=True)
+class PermitWait:
+    """A wait for a permit: the upstream, the place among those that wait, begin and latest end.
+
+    ``admitted`` means that the issuer's answer showed that the permit comes in time.
+    """
+
+    upstream: str
+    place: tuple[int, int] | None
+    began_at: float
+    ends_at: float
+    admitted: bool = False
+
+
 @dataclass(kw_only=True)
 class Job:
     """A request with its route, its deadline, and the outcomes of its attempts.
@@ -29,6 +43,7 @@
     means that the latest attempt continues a stream of which the caller has a part.
     ``first_byte_at`` is when the first byte of an answer's body arrived in any attempt, ``None``
     before; ``attempt_first_byte_at`` is the same for the latest attempt, 0 before.
+    ``permit_wait`` is set while the request waits for a permit of a limited upstream.
     """
 
     request: ReceivedRequest
@@ -50,6 +65,7 @@
     last_sent_at: float | None = None
     resumed: bool = False
     first_byte_at: float | None = None
+    permit_wait: PermitWait | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -19,6 +19,7 @@
 from cactusshunt.requests.request_log import log_answer
 from cactusshunt.requests.request_log import log_attempt
 from cactusshunt.requests.request_log import log_failure
+from cactusshunt.requests.request_log import log_limits
 from cactusshunt.routing.failure_history import record_failure
 from cactusshunt.routing.failure_history import record_success
 from cactusshunt.routing.upstream import Attempt
@@ -79,11 +80,14 @@
         while not job.done and not job.connection.disconnected:
             picked = await self._picker.pick(job)
             if job.done or job.connection.disconnected:
+                self._limits.return_permit(picked.permit)
                 return
             if picked.refusal is not None:
+                log_limits(job, "", picked)
                 self._refuse(job, picked.refusal)
                 return
             if self._fails_to_take_retry(job):
+                self._limits.return_permit(picked.permit)
                 self._answer_locally(job, "repeats used up")
                 return
             outcome = await self._attempt(job, picked)
@@ -121,13 +125,19 @@
         try:
             connection = await self._pool.acquire(upstream.address)
         except UpstreamNotReachedError:
+            self._limits.return_permit(picked.permit)
             self._record_failure(upstream, unreached=True)
             job.excluded_upstreams.add(upstream.name)
             return Outcome.NOT_REACHED
         if job.done or job.connection.disconnected or upstream.removed_at is not None:
             self._pool.release(upstream.address, connection)
+            self._limits.return_permit(picked.permit)
             job.excluded_upstreams.add(upstream.name)
             return Outcome.CALLER_GONE if job.connection.disconnected else Outcome.NOT_REACHED
+        if not self._limits.may_send(upstream.name, picked.permit):
+            # The permit ended, or the limit became known, while the connection was opened.
+            self._pool.release(upstream.address, connection)
+            return Outcome.NOT_REACHED
         return await self._exchange(job, picked, upstream, connection)
 
     async def _exchange(
--- a/src/cactusshunt/requests/request_log.py
+++ b/src/cactusshunt/requests/request_log.py
@@ -13,6 +13,8 @@
     from cactusshunt.requests.upstream_picker import PickResult
     from cactusshunt.routing.upstream import Upstream
 
+MAX_NAMED_UPSTREAMS = 4  # in one line
+
 
 def count_sends(job: Job) -> int:
     """Return how many attempts reached an upstream."""
@@ -49,6 +51,20 @@
         priority=job.route.priority,
         waited_ms=_ms_since(job.request.arrived_at, sent_at),
     )
+    log_limits(job, upstream.name, picked)
+
+
+def log_limits(job: Job, upstream: str, picked: PickResult) -> None:
+    """Log how request limits affected a choice, if they did; a refusal has no upstream."""
+    if picked.permit is not None or picked.without_permit:
+        log_event(
+            "attempt_limited",
+            request=job.request_id.decode("latin-1"),
+            upstream=upstream,
+            permit=picked.permit is not None,
+            permit_waited_ms=picked.permit_waited_ms,
+            without_permit=list(picked.without_permit[:MAX_NAMED_UPSTREAMS]),
+        )
 
 
 def log_answer(job: Job, now: float) -> None:
--- a/src/cactusshunt/requests/upstream_picker.py
+++ b/src/cactusshunt/requests/upstream_picker.py
@@ -1,19 +1,28 @@
-"""Chooses the upstream of the next attempt; waits until the request's model is loaded."""
+"""Chooses the upstream of the next attempt; waits until the request's model is loaded.
+
+Where the chosen upstream has a request limit, requests wait for a permit as long as it comes in
+time, the most urgent ones first.
+"""
 
 from __future__ import annotations
 
 import random
 
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
 from twisted.internet.defer import Deferred
 
+from cactusshunt.limits.permit_pool import Permit  # noqa: TC001
 from cactusshunt.node_log import log_event
 from cactusshunt.requests.admission import Refusal
 from cactusshunt.requests.admission import check_expected_latency
+from cactusshunt.requests.admission import check_permit_wait
 from cactusshunt.requests.admission import check_placement_wait
+from cactusshunt.requests.admission import compute_latency_limit_ms
+from cactusshunt.requests.job import PermitWait
 from cactusshunt.routing.choice import Candidate
 from cactusshunt.routing.choice import choose_engine
 from cactusshunt.routing.choice import choose_service_upstream
@@ -22,9 +31,12 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from twisted.internet.base import ReactorBase
 
+    from cactusshunt.limits.limited_upstream import Place
+    from cactusshunt.limits.request_limits import RequestLimits
     from cactusshunt.placement.demand_meter import DemandMeter
     from cactusshunt.requests.job import Job
     from cactusshunt.routing.upstream_directory import UpstreamDirectory
@@ -36,7 +48,10 @@
 class PickResult:
     """Either an upstream with the latency and the work expected there, or a refusal.
 
-    ``expected_ms`` is 0 for a service without models, whose latency is not estimated.
+    ``expected_ms`` is 0 for a service without models, whose latency is not estimated. ``permit``
+    allows the request at a limited upstream; ``awaits_permit`` is a limited upstream for which none
+    is at hand. ``without_permit`` names limited upstreams that were left out for lack of one, and
+    ``permit_waited_ms`` is the time that the request waited for permits.
     """
 
     upstream: Upstream | None = None
@@ -44,6 +59,29 @@
     expected_ms: float = 0.0
     uncached_tokens: float = 0.0
     work: QueuedWork | None = None
+    permit: Permit | None = None
+    awaits_permit: Upstream | None = None
+    without_permit: tuple[str, ...] = ()
+    permit_waited_ms: int = 0
+
+
+# For a request that is answered or whose caller disconnected; the relay does not send it.
+_IGNORED = PickResult(refusal=Refusal(reason="caller disconnected", retry_after_s=0.5))
+
+
+def _list_waiting(candidates: Iterable[Candidate], chosen: str) -> tuple[str, ...]:
+    """Return the limited upstreams without a permit at hand, except the chosen one."""
+    return tuple(
+        candidate.name
+        for candidate in candidates
+        if candidate.permit_wait_ms and candidate.name != chosen
+    )
+
+
+def _find_place(job: Job, upstream: str) -> Place | None:
+    """Return the place of a request that waits for a permit of this upstream."""
+    wait = job.permit_wait
+    return wait.place if wait is not None and wait.upstream == upstream else None
 
 
 class UpstreamPicker:
@@ -57,6 +95,7 @@
         meter: DemandMeter,
         availability_zone: str,
         trigger_planning: Callable[[], None],
+        limits: RequestLimits,
     ) -> None:
         self._reactor = reactor
         self._directory = directory
@@ -64,26 +103,61 @@
         self._zone = availability_zone
         self._trigger_planning = trigger_planning
         self._random = random.Random()
-        self._waiting: set[Deferred[None]] = set()
+        self._limits = limits
+        self._waiting: dict[Deferred[None], int] = {}  # with the priorities of the requests
 
     @property
     def queued(self) -> int:
-        """Return how many requests wait for a model or adapter."""
+        """Return how many requests wait for a model, an adapter or a permit."""
         return len(self._waiting)
 
     def wake(self) -> None:
-        """Make waiting requests check the upstreams again."""
-        waiting, self._waiting = self._waiting, set()
-        for deferred in waiting:
+        """Make waiting requests check the upstreams again, the most urgent ones first."""
+        waiting, self._waiting = self._waiting, {}
+        for deferred in sorted(waiting, key=lambda deferred: waiting[deferred]):
             deferred.callback(None)
 
     async def pick(self, job: Job) -> PickResult:
-        """Return the upstream of the next attempt, waiting for a load if necessary."""
+        """Return the upstream of the next attempt, waiting for a load or permit if necessary."""
+        picked = self._choose(job)
+        while picked is None or picked.awaits_permit is not None:
+            limited = picked.awaits_permit if picked is not None else None
+            if limited is None:
+                picked = await self._request_load(job)
+            else:
+                picked = await self._wait_for_permit(job, limited)
+        return picked
+
+    def _choose(self, job: Job) -> PickResult | None:
+        """Return a choice, a refusal, or ``None`` if no engine holds the requested item."""
         if job.generation is None:
             return self._pick_service_upstream(job)
-        picked = self._pick_engine(job)
-        if picked is not None:
-            return picked
+        return self._pick_engine(job)
+
+    async def _wait_for_permit(self, job: Job, upstream: Upstream) -> PickResult | None:
+        """Wait until a permit arrives, another upstream becomes better, or time is up."""
+        began_at = self._now()
+        wait = job.permit_wait = PermitWait(
+            upstream=upstream.name,
+            place=self._limits.begin_wait(upstream.name, job.route.priority),
+            began_at=began_at,
+            ends_at=began_at + self._find_latency_limit_ms(job, began_at) / 1000.0,
+        )
+        try:
+            while not job.done and not job.connection.disconnected:
+                await self._wait_for_change(RECHECK_INTERVAL_S, job.route.priority)
+                picked = self._choose(job)
+                if picked is None or picked.awaits_permit is not upstream:
+                    waited_ms = int((self._now() - began_at) * 1000)
+                    return picked and replace(picked, permit_waited_ms=waited_ms)
+        finally:
+            self._limits.end_wait(upstream.name, wait.place)
+            job.permit_wait = None
+        return _IGNORED
+
+    async def _request_load(self, job: Job) -> PickResult:
+        """Report that the request waits for its item, and wait until an engine holds it."""
+        assert job.generation is not None
         key = (job.service, job.item)
         self._meter.begin_wait(key)
         if job.generation.adapter:
@@ -119,12 +193,11 @@
             )
             if refusal is not None:
                 return PickResult(refusal=refusal)
-            await self._wait_for_change(RECHECK_INTERVAL_S)
+            await self._wait_for_change(RECHECK_INTERVAL_S, job.route.priority)
             picked = self._pick_engine(job)
             if picked is not None:
                 return picked
-        # The request is answered or its caller disconnected: the relay ignores this refusal.
-        return PickResult(refusal=Refusal(reason="caller disconnected", retry_after_s=0.5))
+        return _IGNORED
 
     def _expected_at(self, job: Job) -> float | None:
         """Return when the requested item should be loaded, ``None`` if that is not known.
@@ -140,9 +213,9 @@
             return None
         return self._directory.expected_at(job.service, model)
 
-    def _wait_for_change(self, seconds: float) -> Deferred[None]:
+    def _wait_for_change(self, seconds: float, priority: int) -> Deferred[None]:
         changed: Deferred[None] = Deferred()
-        self._waiting.add(changed)
+        self._waiting[changed] = priority
         reactor: Any = self._reactor
         timer = reactor.callLater(seconds, self._end_wait_on_timeout, changed)
 
@@ -155,7 +228,7 @@
 
     def _end_wait_on_timeout(self, changed: Deferred[None]) -> None:
         if changed in self._waiting:
-            self._waiting.discard(changed)
+            del self._waiting[changed]
             changed.callback(None)
 
     def _pick_service_upstream(self, job: Job) -> PickResult:
@@ -167,7 +240,11 @@
         slots = {found.name: found.entry.slots for found in usable}
         choice = choose_service_upstream(candidates, slots, self._random)
         assert choice is not None
-        return PickResult(upstream=self._directory.find(choice.name))
+        upstream = self._directory.find(choice.name)
+        picked = PickResult(
+            upstream=upstream, without_permit=_list_waiting(candidates, choice.name)
+        )
+        return self._limit_request(job, picked, choice.expected_ms, now)
 
     def _pick_engine(self, job: Job) -> PickResult | None:
         """Return a choice, a refusal, or ``None`` if no engine holds the requested item."""
@@ -190,6 +267,15 @@
         )
         assert choice is not None
         chosen = candidates[choice.name]
+        picked = PickResult(
+            upstream=self._directory.find(choice.name),
+            expected_ms=choice.expected_ms,
+            uncached_tokens=chosen.uncached_tokens,
+            work=chosen.work,
+            without_permit=_list_waiting(candidates.values(), choice.name),
+        )
+        if chosen.permit_wait_ms:
+            return self._limit_request(job, picked, choice.expected_ms, now)
         refusal = check_expected_latency(
             expected_ms=choice.expected_ms,
             target_ms=job.route.target_latency_ms,
@@ -197,11 +283,49 @@
         )
         if refusal is not None:
             return PickResult(refusal=refusal)
+        return self._limit_request(job, picked, choice.expected_ms, now)
+
+    def _limit_request(
+        self, job: Job, picked: PickResult, expected_ms: float, now: float
+    ) -> PickResult:
+        """Add a permit if the chosen upstream has a request limit; otherwise wait or refuse."""
+        assert picked.upstream is not None
+        for name in picked.without_permit if job.permit_wait is None else ():
+            self._limits.count_held_back(name)
+        limited = self._limits.find(picked.upstream.name)
+        if limited is None:
+            return picked
+        place = _find_place(job, limited.name)
+        permit = self._limits.take_permit(limited.name, job.route.priority, place)
+        if permit is not None:
+            return replace(picked, permit=permit)
+        wait = job.permit_wait
+        refusal = None
+        if wait is not None and now >= wait.ends_at:
+            wait_s = limited.estimate_wait_s(job.route.priority, place, now)
+            refusal = Refusal(reason="request limit", retry_after_s=wait_s)
+        elif wait is None or not wait.admitted:
+            refusal = check_permit_wait(
+                expected_ms=expected_ms,
+                target_ms=job.route.target_latency_ms,
+                left_ms=job.remaining_first_byte_ms(now),
+            )
+        if refusal is None:
+            if wait is None:
+                limited.usage.count_held_back()
+            elif limited.has_answer_since(wait.began_at):
+                job.permit_wait = replace(wait, admitted=True)
+            return replace(picked, awaits_permit=picked.upstream)
+        limited.usage.count_refused()
+        return_s = limited.plan_return_s(refusal.retry_after_s, now)
         return PickResult(
-            upstream=self._directory.find(choice.name),
-            expected_ms=choice.expected_ms,
-            uncached_tokens=chosen.uncached_tokens,
-            work=chosen.work,
+            refusal=replace(refusal, retry_after_s=return_s),
+            without_permit=(limited.name, *picked.without_permit),
+        )
+
+    def _find_latency_limit_ms(self, job: Job, now: float) -> float:
+        return compute_latency_limit_ms(
+            target_ms=job.route.target_latency_ms, left_ms=job.remaining_first_byte_ms(now)
         )
 
     def _prefer_healthy(self, upstreams: list[Upstream], job: Job, now: float) -> list[Upstream]:
@@ -225,6 +349,9 @@
             tokens_per_ms=upstream.rate,
             failure_share=upstream.failure_history.share,
             long_streams=upstream.long_streams(now),
+            permit_wait_ms=self._limits.estimate_wait_ms(
+                upstream.name, job.route.priority, _find_place(job, upstream.name)
+            ),
         )
 
     def _now(self) -> float:
--- a/src/cactusshunt/routing/choice.py
+++ b/src/cactusshunt/routing/choice.py
@@ -34,6 +34,7 @@
     ``pending_tokens`` are queued before the request, ``uncached_tokens`` are those of its own
     prompt that the engine has to process. ``running`` are the requests at the upstream, also those
     still queued; ``long_streams`` those whose generation takes longer than the latency objective.
+    ``permit_wait_ms`` is the expected wait until a request limit allows the request.
     """
 
     name: str
@@ -44,6 +45,7 @@
     tokens_per_ms: float
     failure_share: float
     long_streams: float = 0.0
+    permit_wait_ms: float = 0.0
 
     @property
     def work(self) -> QueuedWork:
@@ -77,7 +79,9 @@
     """
     best: tuple[float, Choice] | None = None
     for candidate in candidates:
-        expected = estimate_first_token_ms(candidate.work, candidate.tokens_per_ms)
+        expected = candidate.permit_wait_ms + estimate_first_token_ms(
+            candidate.work, candidate.tokens_per_ms
+        )
         score = expected + rng.uniform(0.0, JITTER_MS) + FAILURE_COST_MS * candidate.failure_share
         if not candidate.same_zone:
             score += OTHER_ZONE_COST_FRACTION * target_ms
@@ -93,12 +97,16 @@
 ) -> Choice | None:
     """Return the upstream with the fewest requests per slot, for a service without models.
 
-    The costs of failures and of another zone are added, in requests per slot.
+    The costs of failures and of another zone are added, in requests per slot. Upstreams whose limit
+    makes the request wait are chosen only if all do.
     """
     best: tuple[float, Choice] | None = None
+    least_wait_ms = min((candidate.permit_wait_ms for candidate in candidates), default=0.0)
     for candidate in candidates:
+        if candidate.permit_wait_ms > least_wait_ms:
+            continue
         load = (candidate.running + rng.uniform(0.0, 0.5)) / max(1, slots[candidate.name])
         score = load + candidate.failure_share + (0.0 if candidate.same_zone else 0.25)
         if best is None or score < best[0]:
-            best = (score, Choice(name=candidate.name, expected_ms=0.0))
+            best = (score, Choice(name=candidate.name, expected_ms=candidate.permit_wait_ms))
     return best[1] if best else None
--- a/src/cactusshunt/routing/upstream.py
+++ b/src/cactusshunt/routing/upstream.py
@@ -76,6 +76,7 @@
         self.entry = entry
         self.address: Address = split_address(entry.address)
         self.removed_at: float | None = None
+        self.request_limit_per_s: float | None = None  # of all VMs together
         self.held = HeldItems()
         self.missing_at_version: dict[str, int] = {}
         self.failure_history = FailureHistory()
--- a/tests/steps/request_limit_steps.py
+++ b/tests/steps/request_limit_steps.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import json
+import re
+import subprocess
+import sys
 import time
 import uuid
 
@@ -90,3 +94,30 @@
     most, _ = find_largest_window(arrivals, context.node_of)
     allowed = WINDOW_FACTOR * context.limit * WINDOW_S + WINDOW_SPARE
     assert most <= allowed, f"{most} requests in {WINDOW_S:g} s, allowed {allowed:g}"
+
+
+@then("it gets at least {part:g} times its limit")
+def check_rate(context: Any, part: float) -> None:
+    arrivals = [at for _, at, _ in context.nodes.state_of(LIMITED_ENGINE)["arrivals"]]
+    begin, end = arrivals[0] + FIRST_WINDOW_END_S, max(found[0] for found in context.answers)
+    rate = sum(begin <= at <= end for at in arrivals) / (end - begin)
+    assert rate >= part * context.limit, rate
+
+
+@then("the dump, the metrics, the report and the log of a request tell the limit")
+def check_visible(context: Any) -> None:
+    found = context.nodes.dump("n1")["request_limits"]
+    assert found and found[0]["per_s"] == context.limit, found
+    assert f'request_limit_per_second{{upstream="{LIMITED_ENGINE}"}} 1.2' in context.nodes.metrics(
+        "n1"
+    )
+    log = "".join(context.nodes.read_log(node) for node in context.nodes.caller_ports)
+    lines = [json.loads(line) for line in log.splitlines() if line.startswith("{")]
+    refused = [line for line in lines if line.get("reason") == "request limit"]
+    assert refused[0]["ran"] is False
+    command = [sys.executable, "-m", "cactusshunt", "explain", refused[-1]["request"]]
+    explained = subprocess.run(command, input=log, capture_output=True, text=True, check=True)
+    assert "attempt_limited" in explained.stdout and "limit_named" in explained.stdout
+    command = [sys.executable, "-m", "cactusshunt", "report"]
+    report = subprocess.run(command, input=log, capture_output=True, text=True, check=True)
+    assert re.search(r"1\.2 +\d+ +\d+ +\d+  " + LIMITED_ENGINE, report.stdout), report.stdout
--- a/tests/steps/request_log_steps.py
+++ b/tests/steps/request_log_steps.py
@@ -12,6 +12,7 @@
 from cactusshunt.requests.job import Job
 from cactusshunt.requests.outcome import Outcome
 from cactusshunt.requests.request_log import log_attempt
+from cactusshunt.requests.upstream_picker import PickResult
 
 
 @given("a request whose first upstream was not reached and whose second one streamed")
@@ -41,7 +42,7 @@
 
     event_log.observers.append(observe)
     upstream: Any = SimpleNamespace(name="e", entry=SimpleNamespace(zone="z"), rate=20.0)
-    picked: Any = SimpleNamespace(expected_ms=1.0, uncached_tokens=2.0, work=None)
+    picked = PickResult(expected_ms=1.0, uncached_tokens=2.0)
     try:
         log_attempt(context.job, upstream, Outcome.UNKNOWN, picked, 1.0, 2.0)
     finally:
--- a/tests/steps/waiting_steps.py
+++ b/tests/steps/waiting_steps.py
@@ -13,6 +13,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from cactusshunt.limits.request_limits import RequestLimits
 from cactusshunt.membership.messages import EngineItems
 from cactusshunt.placement.demand_meter import DemandMeter
 from cactusshunt.platform.store import StoredItem
@@ -32,6 +33,13 @@
         meter=DemandMeter(),
         availability_zone="z",
         trigger_planning=lambda: None,
+        limits=RequestLimits(
+            reactor=context.clock,
+            vm="vm0",
+            directory=context.directory,
+            membership=SimpleNamespace(),
+            link=SimpleNamespace(),
+        ),
     )
     context.directory.on_change = context.picker.wake
     for name in ("e1", "e2"):
@@ -74,6 +82,7 @@
         connection=SimpleNamespace(disconnected=False),
         done=False,
         long_running=False,
+        permit_wait=None,
         excluded_upstreams=set(),
         remaining_first_byte_ms=lambda now: float(timeout_ms),
     )
