Count an engine with a request limit at what the limit allows when placing models

The planner now takes its speed from the limit, shared by its models, adds 4 s to its cost as a place for loads, and gives an adapter that only limited engines hold a place on another engine. Without a limit the plans are the same.

Three scenarios; without the changes of model_plan.py and adapter_plan.py the last two fail. The first one states the effect of the speed, which the planner used before.

--- a/src/cactusshunt/placement/adapter_plan.py
+++ b/src/cactusshunt/placement/adapter_plan.py
@@ -82,16 +82,20 @@
         adapter_demand.items(), key=lambda pair: (-pair[1].waiting, -pair[1].tokens_per_ms)
     )
     for (model, adapter), demand in wanted:
-        holders = sum(1 for engine in state.engines if adapter in engine.models.get(model, ()))
+        holding = [engine for engine in state.engines if adapter in engine.models.get(model, ())]
+        holders = len(holding)
         needed_replicas = 1 + int(demand.tokens_per_ms / REPLICA_TOKENS_PER_MS)
         in_demand = demand.waiting > 0 or state.now - demand.last_requested_at < ADAPTER_IN_DEMAND_S
-        if not in_demand or holders >= needed_replicas:
+        only_limited = bool(holding) and all(engine.limited for engine in holding)
+        if not in_demand or (holders >= needed_replicas and not only_limited):
             continue
         may_unload = demand.waiting > 0 and not holders
         hosts = [
             engine
             for engine in engines.values()
-            if _lacks(engine, model, adapter) and (may_unload or not _is_full(engine))
+            if _lacks(engine, model, adapter)
+            and (may_unload or not _is_full(engine))
+            and not (only_limited and engine.limited)
         ]
         if not hosts:
             if not holders:
@@ -100,7 +104,9 @@
                 if reason is UnplacedReason.MODEL_ENGINES_BUSY:
                     arrivals += _expect_free_host(state, model, adapter)
             continue
-        engine = min(hosts, key=lambda host: (_is_full(host), host.running, host.name))
+        engine = min(
+            hosts, key=lambda host: (_is_full(host), host.limited, host.running, host.name)
+        )
         order = _plan_order(state, engine, model, adapter)
         if order is not None:
             orders.append(order)
--- a/src/cactusshunt/placement/engine_ledger.py
+++ b/src/cactusshunt/placement/engine_ledger.py
@@ -245,6 +245,7 @@
         running: float,
         now: float,
         speed: float = 1.0,
+        limited: bool = False,
     ) -> EngineState:
         """Return the engine's part of a placement decision's input."""
         return EngineState(
@@ -265,6 +266,7 @@
             on_disk=self.on_disk,
             running=running,
             speed=speed,
+            limited=limited,
             free_in_s=self._free_in_s(now),
             since_unanswered_s=now - self.unanswered_at,
             loaded_at=self.loaded_at,
--- a/src/cactusshunt/placement/fleet_state.py
+++ b/src/cactusshunt/placement/fleet_state.py
@@ -37,6 +37,7 @@
     models that it loads or that follow an unload; ``reserved_for`` names the model for which
     another one was unloaded; ``loaded_at`` gives the monotonic-clock time of loads that this VM
     ordered; ``running`` counts requests; ``speed`` is relative to the usual engine's, which is 1.
+    ``limited`` means that the engine named a request limit, which then bounds ``speed``.
     ``since_unanswered_s`` is the time since it last left an order unanswered, 1e9 for never.
     """
 
@@ -53,6 +54,7 @@
     on_disk: frozenset[str] = frozenset()
     running: float = 0.0
     speed: float = 1.0
+    limited: bool = False
     free_in_s: float | None = None
     since_unanswered_s: float = 1e9
     loaded_at: dict[str, float] = field(default_factory=dict)
--- a/src/cactusshunt/placement/fleet_view.py
+++ b/src/cactusshunt/placement/fleet_view.py
@@ -8,7 +8,9 @@
 from cactusshunt.placement.fleet_state import FleetState
 from cactusshunt.placement.fleet_state import ModelFacts
 from cactusshunt.placement.fleet_state import WeightSource
+from cactusshunt.placement.late_fraction import estimate_limited_speed
 from cactusshunt.placement.late_fraction import estimate_relative_speed
+from cactusshunt.placement.replica_value import TOKENS_PER_REQUEST
 from cactusshunt.routing.queued_work import DEFAULT_TOKENS_PER_MS
 
 if TYPE_CHECKING:
@@ -42,7 +44,10 @@
             capacity_mb=spec.weights_size_mb,  # of all weights that fit one engine
             adapter_slots=spec.max_adapters,
             running=upstream.total_running(now),
-            speed=estimate_relative_speed(upstream.rate, usual_tokens_per_ms),
+            speed=_estimate_speed(
+                upstream, len(ledgers[upstream.name].models), usual_tokens_per_ms
+            ),
+            limited=upstream.request_limit_per_s is not None,
             now=now,
         )
         for upstream in ready
@@ -75,6 +80,20 @@
     )
 
 
+def _estimate_speed(upstream: Upstream, models: int, usual_tokens_per_ms: float) -> float:
+    """Return an engine's speed relative to the usual one, within its request limit."""
+    speed = estimate_relative_speed(upstream.rate, usual_tokens_per_ms)
+    if upstream.request_limit_per_s is None:
+        return speed
+    limited_speed = estimate_limited_speed(
+        limit_per_s=upstream.request_limit_per_s,
+        models=models,
+        tokens_per_request=TOKENS_PER_REQUEST,
+        usual_tokens_per_ms=usual_tokens_per_ms,
+    )
+    return min(speed, limited_speed)
+
+
 def _read_facts(spec: EngineSpec) -> dict[str, ModelFacts]:
     return {
         model.name: ModelFacts(
--- a/src/cactusshunt/placement/late_fraction.py
+++ b/src/cactusshunt/placement/late_fraction.py
@@ -30,6 +30,18 @@
     return max(MIN_SPEED_FRACTION, share) if share < SLOW_SPEED_FRACTION else 1.0
 
 
+def estimate_limited_speed(
+    *, limit_per_s: float, models: int, tokens_per_request: float, usual_tokens_per_ms: float
+) -> float:
+    """Return what a request limit leaves of an engine's prefill rate for each of its models.
+
+    ``limit_per_s`` is in requests a second, which the models share; the result is a fraction of the
+    usual engine's rate.
+    """
+    tokens_per_ms = limit_per_s * tokens_per_request / 1000.0
+    return tokens_per_ms / max(1, models) / max(0.01, usual_tokens_per_ms)
+
+
 def estimate_late_fraction(load: float, replicas: float) -> float:
     """Return the fraction of a model's requests that come late or are refused.
 
--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -40,6 +40,7 @@
 MAX_UNSERVED_VALUE_PER_S = 3.0  # about what a further replica of a busy model saves
 UNCONFIRMED_ORDER_WINDOW_S = 3.0  # in which an engine may leave more orders unanswered after one
 UNCONFIRMED_ORDER_COST_S = 1.0  # added cost of an engine in that window: a few order timeouts
+LIMITED_ENGINE_COST_S = 4.0  # added cost of an engine with a request limit: about one more load
 SAME_ZONE_COST_S = 0.6  # spreads replicas over zones, because bytes between zones are expensive
 ADAPTER_DELAY_COST_FACTOR = 1.0  # per second of load time, for each adapter request a second
 BLOCKED_ADAPTER_FRACTION = 0.3  # fraction of adapter requests that a model load blocks
@@ -306,6 +307,8 @@
             return
         load, adapter_rate = self._replica_values.estimate_engine_work(engine)
         cost_s = wait_s + load + ADAPTER_DELAY_COST_FACTOR * adapter_rate * self._usual_load_s
+        if engine.limited:
+            cost_s += LIMITED_ENGINE_COST_S
         if engine.since_unanswered_s < UNCONFIRMED_ORDER_WINDOW_S:
             cost_s += UNCONFIRMED_ORDER_COST_S
         if self._find_free_after_loads_mb(engine) < self._usual_size_mb:
@@ -332,6 +335,8 @@
         duration_s = fact.load_s[source]
         # A prefill load of 1, an engine's whole time, costs as much as one second.
         cost_s = wait_s + duration_s * (1.0 + ADAPTER_DELAY_COST_FACTOR * adapter_rate) + load
+        if engine.limited:
+            cost_s += LIMITED_ENGINE_COST_S
         if (needed.model, engine.availability_zone) in self._model_zones:
             cost_s += SAME_ZONE_COST_S
         if engine.since_unanswered_s < UNCONFIRMED_ORDER_WINDOW_S:
--- a/tests/placement/replica_plan.feature
+++ b/tests/placement/replica_plan.feature
@@ -23,6 +23,24 @@
     When requests for the model take the prefill time of 0.2 engines
     Then a further replica of the model is ordered
 
+  Scenario: A model whose only replica is on an engine with a request limit gets one elsewhere
+    Given 9 engines with a model on 1 of them and rare models on all
+    And the first engine takes 1 request a second
+    When requests for the model take the prefill time of 0.2 engines
+    Then a further replica of the model is ordered
+    But none at the first engine
+
+  Scenario: An engine with a request limit is not the first place for another model
+    Given 2 engines with room for a model, the first with a request limit
+    When requests for the model take the prefill time of 0.2 engines
+    Then a further replica of the model is ordered
+    But none at the first engine
+
+  Scenario: An adapter that only an engine with a request limit holds gets a place elsewhere
+    Given an engine with a request limit that holds an adapter, and one with its model
+    When requests for the adapter arrive
+    Then the adapter is ordered at the second engine
+
   Scenario: Memory is freed by unloading a model without recent requests
     Given an engine with a model requested 0.2 s ago, also held elsewhere, and one requested 8 s ago
     When callers request a third model that does not fit beside them
--- a/tests/steps/replica_plan_steps.py
+++ b/tests/steps/replica_plan_steps.py
@@ -9,12 +9,15 @@
 from behave import then
 from behave import when
 
+from cactusshunt.placement.adapter_plan import plan_adapters
 from cactusshunt.placement.fleet_state import Demand
 from cactusshunt.placement.fleet_state import EngineState
 from cactusshunt.placement.fleet_state import FleetState
 from cactusshunt.placement.fleet_state import ModelFacts
 from cactusshunt.placement.fleet_state import WeightSource
+from cactusshunt.placement.late_fraction import estimate_limited_speed
 from cactusshunt.placement.model_plan import plan_models
+from cactusshunt.placement.replica_value import TOKENS_PER_REQUEST
 
 NOW = 1_000.0
 TOKENS_PER_MS = 20.0
@@ -51,6 +54,56 @@
     context.engines[0] = replace(context.engines[0], speed=share)
 
 
+@given("the first engine takes {per_s:g} request a second")
+def limit_first_engine(context: Any, per_s: float) -> None:
+    speed = estimate_limited_speed(
+        limit_per_s=per_s,
+        models=len(context.engines[0].models),
+        tokens_per_request=TOKENS_PER_REQUEST,
+        usual_tokens_per_ms=TOKENS_PER_MS,
+    )
+    context.engines[0] = replace(context.engines[0], speed=speed, limited=True)
+
+
+@given("2 engines with room for a model, the first with a request limit")
+def make_empty_engines(context: Any) -> None:
+    make_engines(context, 2, 0)
+    context.engines = [replace(engine, models={}) for engine in context.engines]
+    context.engines[0] = replace(context.engines[0], speed=0.05, limited=True)
+
+
+@given("an engine with a request limit that holds an adapter, and one with its model")
+def hold_adapter_at_limited_engine(context: Any) -> None:
+    make_engines(context, 2, 2)
+    limited, other = context.engines
+    models = {**limited.models, "hot": frozenset({"a1"})}
+    context.engines = [replace(limited, speed=0.05, limited=True, models=models), other]
+
+
+@when("requests for the adapter arrive")
+def request_adapter(context: Any) -> None:
+    demand = Demand(tokens_per_ms=0.5, last_requested_at=NOW, usual_requests_per_s=0.3)
+    state = FleetState(
+        now=NOW,
+        engines=tuple(context.engines),
+        facts=context.facts,
+        demand={"hot": demand},
+        adapter_demand={("hot", "a1"): demand},
+    )
+    context.orders = plan_adapters(state, frozenset()).orders
+
+
+@then("the adapter is ordered at the second engine")
+def check_adapter_elsewhere(context: Any) -> None:
+    found = [(order.engine, order.load, order.item) for order in context.orders]
+    assert found == [("e1", True, "hot/a1")], found
+
+
+@then("none at the first engine")
+def check_not_at_first(context: Any) -> None:
+    assert all(order.engine != "e0" for order in find_hot_model_orders(context)), context.orders
+
+
 @when("requests for the model take the prefill time of {engines:g} engines")
 def request_hot_model(context: Any, engines: float) -> None:
     demand = {
