--- a/src/cactusshunt/placement/model_plan.py
+++ b/src/cactusshunt/placement/model_plan.py
@@ -52,13 +52,15 @@
 
     ``saved_per_s`` is the requests a second that the replica would keep from being late or lost;
     ``priority`` orders requests; for an absent model it also grows with the unserved requests.
-    ``absent`` is set if no engine holds or loads the model.
+    ``absent`` is set if no engine holds or loads the model, ``scarce`` also if only engines with a
+    request limit do.
     """
 
     model: str
     saved_per_s: float
     priority: float
     absent: bool
+    scarce: bool
 
 
 def plan_models(state: FleetState) -> ModelPlan:
@@ -110,6 +112,7 @@
         self._replica_values = ReplicaValues(state)
         self.expected = ReplicaTally()
         self._model_zones: set[tuple[str, str]] = set()
+        self._held_without_limit: set[str] = set()
         self._free_after_loads_mb: dict[str, float] = {}
         self._engines_by_name = {engine.name: engine for engine in state.engines}
         self._ranked_engines: list[tuple[float, str]] = []
@@ -129,6 +132,8 @@
             held = engine.models.keys() | under_way
             self.expected.add(engine, *held)
             self._model_zones.update((model, engine.availability_zone) for model in held)
+            if not engine.limited:
+                self._held_without_limit |= held
 
     def find_replica_requests(self) -> list[_ReplicaRequest]:
         """Return the models that need a further replica, those with the highest priority first."""
@@ -155,6 +160,7 @@
                         saved_per_s=saved_per_s,
                         priority=saved_per_s + (0.0 if held else unserved_value_per_s),
                         absent=held == 0,
+                        scarce=model not in self._held_without_limit,
                     )
                 )
         return sorted(needed, key=lambda found: -found.priority)
@@ -343,7 +349,7 @@
             cost_s += UNCONFIRMED_ORDER_COST_S
         weight_store_wait_s = 0.0
         if source is WeightSource.STORE:
-            if not needed.absent and needed.saved_per_s < MIN_SAVED_BY_WEIGHT_STORE_REPLICA_PER_S:
+            if not needed.scarce and needed.saved_per_s < MIN_SAVED_BY_WEIGHT_STORE_REPLICA_PER_S:
                 return None
             cost_s += WEIGHT_STORE_LOAD_COST_S
             if self._weight_store_loads_left <= 0:
@@ -358,7 +364,7 @@
             # One blocked request counts as much as one lost request a second.
             blocked_requests = BLOCKED_ADAPTER_FRACTION * duration_s * adapter_rate
             if needed.saved_per_s < eviction_candidate.lost_requests_per_s + blocked_requests + (
-                MIN_SAVED_PER_S if needed.absent else MIN_SAVED_BY_EVICTING_REPLICA_PER_S
+                MIN_SAVED_PER_S if needed.scarce else MIN_SAVED_BY_EVICTING_REPLICA_PER_S
             ):
                 return None
             duration_s += eviction_candidate.unload_s
--- a/tests/placement/replica_plan.feature
+++ b/tests/placement/replica_plan.feature
@@ -30,6 +30,12 @@
     Then a further replica of the model is ordered
     But none at the first engine
 
+  Scenario: A model that only engines with request limits hold is placed like an absent one
+    Given 9 engines with a model on 1 of them and rare models on all
+    And the first engine takes 1 request a second
+    When requests for the model take the prefill time of 0.05 engines
+    Then a further replica of the model is ordered
+
   Scenario: An engine with a request limit is not the first place for another model
     Given 2 engines with room for a model, the first with a request limit
     When requests for the model take the prefill time of 0.2 engines
