Hand shares of limits over sooner

After an issuer has left, its VMs' shares were idle for 2.25 s. Delegations end after 1.5 s and are repeated every 0.6 s, so the gap is 1.75 s.

--- a/src/cactusshunt/limits/permit_issuer.py
+++ b/src/cactusshunt/limits/permit_issuer.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass
 
 PERMIT_LIFETIME_S = 1.0  # from when its VM sent the demand
-DELEGATION_LIFETIME_S = 2.0  # two reports of a VM may be lost before its share ends
+DELEGATION_LIFETIME_S = 1.5  # a report of a VM may be lost before its share ends
 DEMAND_LIFETIME_S = 0.5  # demand is repeated before; a permit for older demand would end too soon
 EXPIRY_INTERVAL_S = 0.05  # between two searches for shares and demand that have ended
 SAVED_PERMITS_SPARE = 5.0  # what an upstream accepts beyond its limit in a window
--- a/src/cactusshunt/limits/request_limits.py
+++ b/src/cactusshunt/limits/request_limits.py
@@ -46,7 +46,7 @@
 TICK_S = 0.05  # delays a permit by half of it on average
 DEMAND_GATHER_S = 0.002  # puts requests that begin to wait together into one datagram
 DEMAND_INTERVAL_S = 0.2  # demand that is not repeated ends after DEMAND_LIFETIME_S
-SHARE_INTERVAL_S = 0.8  # shares end after DELEGATION_LIFETIME_S
+SHARE_INTERVAL_S = 0.6  # shares end after DELEGATION_LIFETIME_S
 REPORT_INTERVAL_S = 2.0  # for VMs that missed a report; below LIMIT_RETENTION_S
 REPORT_REPEAT_S = 0.15  # a changed limit is reported twice, because datagrams may be lost
 MAX_REPORTED_LIMITS = 8  # by turns, which bounds the bytes when very many upstreams have limits
