Check the right to send an order again when its connection is open

Operators of similar systems saw orders sent twice around a hand-over, and a process that had stood still act on a permission that had run out. Both are possible here: the order holder checks its right when it plans, then waits for a connection (0.3 s at most, longer if the VM stands still meanwhile), and wrote the order whatever had happened. The engine's check of the number of orders stops a late order only if another one came before it.

The right and the call's deadline are checked again before the first byte; an order that fails them counts as not sent.

New scenario "An order is not sent when the right to send it ends while its connection opens": the order was written before, and is not after.

--- a/src/cactusshunt/http1/collected_answer.py
+++ b/src/cactusshunt/http1/collected_answer.py
@@ -5,10 +5,13 @@
 from typing import TYPE_CHECKING
 
 from cactusshunt.exceptions import UpstreamBrokenError
+from cactusshunt.exceptions import UpstreamNotReachedError
 from cactusshunt.exceptions import UpstreamSilentError
 from cactusshunt.http1.upstream_connection import ExchangeEnd
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.internet.base import ReactorBase
 
     from cactusshunt.http1.connection_pool import Address
@@ -50,14 +53,23 @@
     headers: Headers,
     body: bytes = b"",
     deadline: float,
+    may_send: Callable[[], bool] = lambda: True,
 ) -> CollectedAnswer:
     """Send one request and return its answer, until ``deadline`` (reactor time in s).
 
+    ``may_send`` is asked when a connection is open, which may be seconds after the call.
+
     Raises ``UpstreamNotReachedError`` if no byte was sent, ``UpstreamSilentError`` if the deadline
     passes and ``UpstreamBrokenError`` if the answer is incomplete or malformed; after the last two
     the call may have taken effect.
     """
     connection = await pool.acquire(address)
+    if reactor.seconds() >= deadline or not may_send():
+        pool.release(address, connection)
+        raise UpstreamNotReachedError(
+            reason="The time or the right to send ended while the connection opened.",
+            remedy="Decide again whether to send it.",
+        )
     answer = CollectedAnswer()
     framed = [(b"Host", f"{address[0]}:{address[1]}".encode()), *headers]
     if body or method == b"POST":
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -317,6 +317,7 @@
                 token=token,
                 expected=expected,
                 deadline=self._now() + CALL_TIMEOUT_S,
+                may_send=lambda: self._tenure().token == token and self._may_order(self._now()),
             )
         except OrderNotSentError:
             return NOT_SENT
--- a/src/cactusshunt/platform/engine_calls.py
+++ b/src/cactusshunt/platform/engine_calls.py
@@ -17,6 +17,8 @@
 from cactusshunt.platform.documents import decode_report
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.internet.base import ReactorBase
 
     from cactusshunt.http1.connection_pool import Address
@@ -81,11 +83,12 @@
         token: int,
         expected: int,
         deadline: float,
+        may_send: Callable[[], bool],
     ) -> OrderAnswer:
         """Send an order that the engine refuses unless it has accepted ``expected`` orders so far.
 
-        ``token`` is the fencing token. Raises ``OrderNotSentError`` or
-        ``OrderOutcomeUnknownError``.
+        ``token`` is the fencing token; ``may_send`` is asked just before the send. Raises
+        ``OrderNotSentError`` or ``OrderOutcomeUnknownError``.
         """
         order = _Order(
             operation="load" if load else "unload",
@@ -109,6 +112,7 @@
                 headers=headers,
                 body=msgspec.json.encode(order),
                 deadline=deadline,
+                may_send=may_send,
             )
         except UpstreamNotReachedError as error:
             raise OrderNotSentError(reason=error.reason, remedy="Plan the order again.") from error
--- a/tests/placement/order_holder.feature
+++ b/tests/placement/order_holder.feature
@@ -12,6 +12,12 @@
     Then the adapter is loaded within 0.5 s
     And the rare model is loaded within 6 s
 
+  # A VM may stand still while a connection opens, and another one be elected.
+  Scenario: An order is not sent when the right to send it ends while its connection opens
+    Given an order holder whose connections to engines take a while to open
+    When its right ends while the connection for an order opens
+    Then no order is written to the connection
+
   Scenario: Callers learn when an adapter of a busy engine should be loaded
     Given an engine that holds a model and accepts orders in 1.5 s
     When a request waits for an adapter of the model
--- a/tests/steps/order_holder_steps.py
+++ b/tests/steps/order_holder_steps.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
 from typing import Any
 
 from behave import given
 from behave import then
 from behave import when
+from twisted.internet.defer import Deferred
 
+from cactusshunt.membership.messages import ItemDemand
+from cactusshunt.membership.tenure import Tenure
 from cactusshunt.placement.adapter_plan import plan_adapters
 from cactusshunt.placement.fleet_state import Demand
 from cactusshunt.placement.fleet_state import EngineState
 from cactusshunt.placement.fleet_state import FleetState
 from cactusshunt.placement.fleet_state import ModelFacts
 from cactusshunt.placement.fleet_state import WeightSource
+from cactusshunt.platform.engine_calls import EngineCalls
 from tests.steps.simulated_fleet import HOLDER
+from tests.steps.simulated_fleet import SERVICE
 from tests.steps.simulated_fleet import SimulatedFleet
 
 TICK_S = 0.1
@@ -112,3 +118,60 @@
 def check_expected(context: Any, seconds: float) -> None:
     found = [(arrival.item, round(arrival.ready_in_s, 3)) for arrival in context.plan.arrivals]
     assert found == [("m0/a1", seconds)], found
+
+
+class _SlowPool:
+    """Connection pool whose connections open when ``open`` is called; records what is written."""
+
+    def __init__(self) -> None:
+        self.opening: list[Deferred[Any]] = []
+        self.written: list[bytes] = []
+
+    def acquire(self, address: Any) -> Deferred[Any]:
+        self.opening.append(Deferred())
+        return self.opening[-1]
+
+    def release(self, address: Any, connection: Any) -> None:
+        pass
+
+    def open(self) -> None:
+        connection = SimpleNamespace(exchange=self._exchange, cancel=lambda: None)
+        self.opening.pop().callback(connection)
+
+    def _exchange(self, method: bytes, target: bytes, *_: Any) -> Deferred[Any]:
+        self.written.append(target)
+        return Deferred()
+
+
+@given("an order holder whose connections to engines take a while to open")
+def make_slow_holder(context: Any) -> None:
+    models = ["m0", "m1", "m2", "m3"]
+    fleet = context.fleet = SimulatedFleet(vms=1, zones=1, models=models, engines=1, load_s=1.0)
+    pool: Any = _SlowPool()
+    reactor: Any = fleet.clock
+    calls = EngineCalls(reactor=reactor, pool=pool)
+
+    async def read_report(address: Any, name: str, **_: Any) -> Any:
+        return fleet.engines[name].report(fleet.clock.seconds())
+
+    calls.read_report = read_report  # type: ignore[method-assign, assignment]
+    context.pool = pool
+    context.tenure = Tenure(token=1, begins_at=0.0, ends_at=1e9)
+    context.orders = fleet.make_order_task(calls, lambda: context.tenure)
+    waiting = ItemDemand(service=SERVICE, item="m3", tokens_per_ms=1.0, waiting=9, total_requests=9)
+    context.orders.fleet_demand.apply_report("vm0", [waiting], fleet.clock.seconds())
+
+
+@when("its right ends while the connection for an order opens")
+def end_right(context: Any) -> None:
+    for _ in range(3):
+        context.fleet.clock.advance(0.1)
+        context.orders.tick()
+    assert context.pool.opening, "no order was planned"
+    context.tenure = Tenure()
+    context.pool.open()
+
+
+@then("no order is written to the connection")
+def check_no_order(context: Any) -> None:
+    assert not context.pool.written, context.pool.written
--- a/tests/steps/simulated_fleet.py
+++ b/tests/steps/simulated_fleet.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections import defaultdict
 from types import SimpleNamespace
+from typing import TYPE_CHECKING
 from typing import Any
 
 from twisted.internet.task import Clock
@@ -32,6 +33,9 @@
 from cactusshunt.platform.store import StoredItem
 from cactusshunt.routing.upstream_directory import UpstreamDirectory
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 SERVICE = "language-models"
 HOLDER = "vm0"
 PROMPT_TOKENS = 2_000.0
@@ -157,7 +161,11 @@
             )
         self.meters = {vm: DemandMeter() for vm in self._zone_of}
         self._announcers = {vm: self._make_announcer(vm) for vm in self._zone_of}
-        self._orders = self._make_order_task(models, load_s)
+        self._models = models
+        self._load_s = load_s
+        calls: Any = _Calls(self.clock, self.engines)
+        tenure = Tenure(token=1, begins_at=0.0, ends_at=1e9)
+        self._orders = self.make_order_task(calls, lambda: tenure)
 
     def apply_demand(self, report: DemandReport) -> None:
         """Give the order task a VM's report, as the node does."""
@@ -235,17 +243,17 @@
             plan_now=self._plan_now if own else lambda: None,
         )
 
-    def _make_order_task(self, models: list[str], load_s: float) -> OrderTask:
+    def make_order_task(self, calls: Any, tenure: Callable[[], Tenure]) -> OrderTask:
+        """Return an order task with the given calls to engines and right to send orders."""
         link = self._make_link(HOLDER)
-        calls: Any = _Calls(self.clock, self.engines)
         reactor: Any = self.clock
         orders = OrderTask(
             reactor=reactor,
             vm=HOLDER,
             directory=self._directory,
             calls=calls,
-            tenure=lambda: Tenure(token=1, begins_at=0.0, ends_at=1e9),
-            may_order=lambda now: True,
+            tenure=tenure,
+            may_order=lambda now: tenure().is_valid(now),
             publish=link.broadcast,
             is_large_fleet=lambda: link.is_large_fleet,
         )
@@ -254,8 +262,8 @@
             max_adapters=ADAPTER_SLOTS,
             loads_per_s=20.0,
             models=[
-                ModelSpec(name=name, weights_size_mb=70.0, load_s=load_s, adapters=2)
-                for name in models
+                ModelSpec(name=name, weights_size_mb=70.0, load_s=self._load_s, adapters=2)
+                for name in self._models
             ],
         )
         configuration: Any = SimpleNamespace(services=[Service(name=SERVICE, engine=spec)])
