Trust an upstream's failure answer only if it bears the request's id

Operators of similar systems saw a late second copy of an answer reach the next caller on a reused connection. Copies with another request's id were rejected here, and so were successes without an id. But a failure without an id was taken for the answer: a late 503 with X-Not-Executed made the node tell the caller "not run" while the engine ran the request, which the caller may then send again.

Engines echo the id in all their answers, so a failure without it now counts as unknown: the request may have run.

The scenario of requests that run at most once has the case: 503 before, 502 after. New scenario for streams that are slow but sound, and streams that send a byte now and then: passes without a change, since a stream ends at its deadline only."

--- a/src/cactusshunt/requests/answer_sink.py
+++ b/src/cactusshunt/requests/answer_sink.py
@@ -19,8 +19,9 @@
 
     ``longest_gap_s`` is the longest pause between two chunks forwarded to the caller;
     ``forwarding_started`` means that the caller has received a part of the answer;
+    ``identified`` means that the latest answer has the request's id;
     ``rejected`` means that ``receive_head`` rejected the latest answer; ``on_head`` is called when
-    it accepted one.
+    it accepted one with the request's id.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         self.status = 0
         self.headers: Headers = []
         self.rejected = False
+        self.identified = False
         self.on_first_byte: Callable[[], None] | None = None
         self.on_head: Callable[[], None] = lambda: None
 
@@ -68,11 +70,13 @@
         self._chunks = []
         self._forwards_body = False
         answered = names.find_header(headers, names.REQUEST_ID)
+        self.identified = answered is not None and answered == self._request_id
         if answered is not None and answered != self._request_id:
             self.rejected = True
             return False
         if not self.succeeded:
-            self.on_head()
+            if self.identified:
+                self.on_head()
             return True
         signed = names.find_header(headers, names.RESPONSE_SEAL) is not None
         encoded = names.find_header(headers, names.CONTENT_ENCODING) is not None
@@ -108,6 +112,7 @@
         self._chunks = []
         self.status = 0
         self.rejected = False
+        self.identified = False
         self.events.discard_incomplete()
 
     def _forward(self, data: bytes) -> None:
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -198,6 +198,9 @@
             return Outcome.CALLER_GONE if job.connection.disconnected else Outcome.TIMED_OUT
         if end is not ExchangeEnd.COMPLETE:
             return Outcome.UNKNOWN
+        if not sink.identified:
+            # It may be a late second answer to an earlier request on the connection.
+            return Outcome.UNKNOWN
         self._record_load(upstream, sink.headers)
         if sink.status == 421:
             self._record_absence(job, upstream, sink.headers)
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -7,11 +7,15 @@
 
 ``POST /test/fault`` sets the fault of the next requests: ``refuse`` answers 503 without running the
 request, ``vanish`` runs it and aborts the connection, ``tear`` aborts a stream in its fourth event,
-``foreign`` answers with the ID of another request. ``drain`` takes effect at once: the engine's
-record in the store changes to draining. ``POST /test/limit`` sets the text of ``Server-Limit`` in
-every ``every``-th answer from then on; ``null`` ends it. ``GET /test/runs`` lists the IDs of the
-requests that ran, and under ``arrivals`` ID, time and whether the answer names a limit of each
-request that arrived; standard output has a line with ID and time for each run.
+``foreign`` answers with the ID of another request, ``stale`` runs the request and then sends a
+refusal without an ID, as a late copy of an earlier answer, ``dribble`` sends a byte of a stream now
+and then and never ends it, ``slow`` sends its events ten times as slowly. ``drain`` takes effect at
+once: the engine's record in the store changes to draining.
+
+``POST /test/limit`` sets the text of ``Server-Limit`` in every ``every``-th answer from then on;
+``null`` ends it. ``GET /test/runs`` lists the IDs of the requests that ran, and under ``arrivals``
+ID, time and whether the answer names a limit of each request that arrived; standard output has a
+line with ID and time for each run.
 """
 
 from __future__ import annotations
@@ -40,6 +44,8 @@
 LOAD_S = 0.2
 EVENT_INTERVAL_S = 0.02
 EVENTS_PER_STREAM = 8
+DRIBBLE_INTERVAL_S = 0.3
+SLOW_FACTOR = 10
 MAX_MODELS = 2
 
 
@@ -104,6 +110,9 @@
                 "cancelled": self._cancelled,
                 "overcommitted": self.overcommitted,
             }
+        request_id = request.getHeader("X-Request-Id")
+        if request_id is not None:
+            request.setHeader("X-Request-Id", request_id)
         if request.getHeader("X-Expect-Instance") not in (None, self._name):
             return encode_answer(request, {}, 421)
         if path == "/v1/report":
@@ -155,6 +164,10 @@
         self._runs.append(request_id)
         print("run", request_id, time.time(), flush=True)
         request.notifyFinish().addErrback(lambda _: self._cancelled.append(request_id))
+        if fault == "stale":
+            request.setHeader("X-Not-Executed", "1")
+            request.responseHeaders.removeHeader("X-Request-Id")
+            return encode_answer(request, {}, 503)
         if fault == "vanish":
             abort_connection(request)
             return NOT_DONE_YET
@@ -167,6 +180,11 @@
         reactor.callLater(EVENT_INTERVAL_S, self._send_event, request, first + 1, fault)
         return NOT_DONE_YET
 
+    def _dribble(self, request: Request) -> None:
+        if not request._disconnected:
+            request.write(b":")
+            reactor.callLater(DRIBBLE_INTERVAL_S, self._dribble, request)
+
     def _name_limit(self, request: Request, request_id: str) -> None:
         named = self._limit is not None and len(self._arrivals) % self._limit_every == 0
         self._arrivals.append((request_id, time.time(), named))
@@ -180,11 +198,15 @@
             request.write(b"id: 4\ndata: to")
             reactor.callLater(EVENT_INTERVAL_S, abort_connection, request)
             return
+        if fault == "dribble" and number == 3:
+            self._dribble(request)
+            return
         request.write(f"id: {number}\ndata: token {number}\n\n".encode())
         if number == EVENTS_PER_STREAM:
             request.finish()
             return
-        reactor.callLater(EVENT_INTERVAL_S, self._send_event, request, number + 1, fault)
+        pause = SLOW_FACTOR * EVENT_INTERVAL_S if fault == "slow" else EVENT_INTERVAL_S
+        reactor.callLater(pause, self._send_event, request, number + 1, fault)
 
 
 def post(url: str, body: dict[str, Any]) -> None:
--- a/tests/platform/node.feature
+++ b/tests/platform/node.feature
@@ -22,6 +22,16 @@
     Then an idempotent request is answered or gets 502
     When the plain service answers its next request with another request's id
     Then a non-idempotent request gets 502 and ran once
+    When the plain service answers its next request with a late refusal of an earlier one
+    Then a non-idempotent request gets 502 and ran once
+
+  Scenario: Slow but sound streams arrive whole, and stalled ones that send bytes end in time
+    Given the node deployment
+    When both engines send their next stream ten times as slowly
+    Then a stream arrives complete
+    When both engines send a byte of their next stream now and then
+    Then a stream with 2 seconds left ends within 2.5 seconds and does not look complete
+    And its request is cancelled at the engine within 0.5 seconds
 
   Scenario: A broken stream is resumed at another engine where its route allows it
     Given the node deployment
--- a/tests/steps/node_steps.py
+++ b/tests/steps/node_steps.py
@@ -12,6 +12,7 @@
 import uuid
 
 from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPException
 from typing import Any
 
 from behave import given
@@ -154,8 +155,6 @@
 
 @then("a stream that cannot be resumed does not look complete")
 def check_incomplete(context: Any) -> None:
-    from http.client import HTTPException
-
     try:
         _, status, _, data = send_request(context, "n1", "/s/x", "captions")
     except (HTTPException, ConnectionError):
@@ -361,3 +360,44 @@
     port = context.nodes.caller_ports["n3"]
     assert call(port, "POST", "/s/x", {"text": "x"}, headers)[0] == 503
     assert time.monotonic() - began_at < 2.0
+
+
+@when("the plain service answers its next request with a late refusal of an earlier one")
+def answer_with_stale_refusal(context: Any) -> None:
+    context.nodes.inject_fault("s1", "stale")
+
+
+@when("both engines send their next stream ten times as slowly")
+def slow_next_streams(context: Any) -> None:
+    for engine in ("e1", "e2"):
+        context.nodes.inject_fault(engine, "slow")
+
+
+@then("a stream arrives complete")
+def check_one_stream(context: Any) -> None:
+    context.answers = [send_request(context, "n1", "/s/x", "captions")]
+    check_streams(context)
+
+
+@when("both engines send a byte of their next stream now and then")
+def stall_next_streams(context: Any) -> None:
+    for engine in ("e1", "e2"):
+        context.nodes.inject_fault(engine, "dribble")
+
+
+@then(
+    "a stream with {left_s:d} seconds left ends within {limit_s:g} seconds "
+    "and does not look complete"
+)
+def check_stalled(context: Any, left_s: int, limit_s: float) -> None:
+    context.request_id = uuid.uuid4().hex
+    headers = {"Host": "h", "X-Request-Id": context.request_id, "X-Model": "captions"}
+    headers["X-Deadline-Ms"] = str(1000 * left_s)
+    began_at = time.monotonic()
+    try:
+        port = context.nodes.caller_ports["n1"]
+        answer = call(port, "POST", "/s/x", {"text": "x"}, headers)
+    except (HTTPException, ConnectionError):
+        assert time.monotonic() - began_at < limit_s
+        return
+    raise AssertionError(answer)
