Keep requests for permits by time, and handle VMs' messages by a table

A VM with limits at very many issuers could forget a request before its permits came, which only lost permits. The node's chain of type checks becomes a table.

--- a/src/cactusshunt/limits/request_limits.py
+++ b/src/cactusshunt/limits/request_limits.py
@@ -52,8 +52,7 @@
 MAX_REPORTED_LIMITS = 8  # by turns, which bounds the bytes when very many upstreams have limits
 USAGE_LOG_INTERVAL_S = 5.0
 MAX_USAGE_LINES = 20  # in each interval; upstreams that held requests back come first
-MAX_REMEMBERED_REQUESTS = 256  # more than are sent within PERMIT_LIFETIME_S
-MAX_REMEMBERED_GRANTS = 256
+MAX_REMEMBERED_GRANTS = 4_096  # to recognise duplicates, which follow within milliseconds
 
 
 class RequestLimits:
@@ -87,7 +86,7 @@
         )
         self._request_number = secrets.randbits(40)
         # times at which requests for permits were sent, and grants received, the latest last
-        self._sent_at: OrderedDict[int, float] = OrderedDict()
+        self._sent_at: dict[int, float] = {}
         self._grants: OrderedDict[tuple[str, int], None] = OrderedDict()
         self._demand_scheduled = False
         self._ticking = False
@@ -304,7 +303,9 @@
         self._chooser.set_candidates([self._vm, *self._link.list_limit_peers()])
         by_issuer: defaultdict[str, list[UpstreamDemand]] = defaultdict(list)
         for name in upstreams:
-            limited = self._limited[name]
+            limited = self._limited.get(name)
+            if limited is None:
+                continue
             choice = self._chooser.choose(name, now)
             limited.issuer = choice.issuer if choice is not None else None
             if choice is None:
@@ -318,11 +319,10 @@
                     limit=self._describe(name, now), delegates=choice.delegates, waiting=waiting
                 )
             )
+        self._forget_old_requests(now)
         for issuer, demands in by_issuer.items():
             self._request_number += 1
             self._sent_at[self._request_number] = now
-            if len(self._sent_at) > MAX_REMEMBERED_REQUESTS:
-                self._sent_at.popitem(last=False)
             request = PermitRequest(
                 vm=self._vm, request_number=self._request_number, demands=demands
             )
@@ -331,6 +331,14 @@
             else:
                 self._link.send(request, [issuer])
 
+    def _forget_old_requests(self, now: float) -> None:
+        """Forget the requests for permits whose permits would have ended."""
+        while self._sent_at:
+            number, sent_at = next(iter(self._sent_at.items()))
+            if now < sent_at + PERMIT_LIFETIME_S:
+                return
+            del self._sent_at[number]
+
     def _describe(self, upstream: str, now: float) -> UpstreamLimit:
         known = self._register.read_latest(upstream)
         assert known is not None
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -55,6 +55,7 @@
 from cactusshunt.telemetry.node_telemetry import NodeTelemetry
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
     from cactusshunt.membership.messages import Message
@@ -163,6 +164,14 @@
             allowance=self._allowance,
             limits=self._limits,
         )
+        self._handlers: dict[type[Message], Callable[[Any], None]] = {
+            Status: self._handle_status,
+            DemandReport: self._handle_demand,
+            PlacementUpdate: self._handle_placement,
+            LimitReport: self._limits.apply_message,
+            PermitRequest: self._limits.apply_message,
+            PermitGrant: self._limits.apply_message,
+        }
         self._callers = CallerRequests(
             reactor=reactor, relay=relay, meter=self._meter, grace_s=bounds.grace_s
         )
@@ -283,25 +292,19 @@
         log_event("configuration", version=configuration.version, routes=len(configuration.routes))
 
     def _receive(self, message: Message) -> None:
-        if isinstance(message, Status):
-            self._directory.apply_status(message)
-            self._membership.record_store_report(message.vm, message.store_silent_ms / 1000.0)
-            return
-        if isinstance(message, DemandReport):
-            self._handle_demand(message)
-            return
-        if isinstance(message, PermitRequest | PermitGrant):
-            self._limits.apply_message(message)
-            return
-        if message.forward_in_zone:
+        if isinstance(message, PlacementUpdate | LimitReport) and message.forward_in_zone:
             self._link.forward_in_zone(message, self._settings.zone)
-        if isinstance(message, LimitReport):
-            self._limits.apply_message(message)
-            return
-        for engine_items in message.engines:
-            self._directory.apply_engine_items(engine_items, message.token)
-        for loads in message.planned_loads:
-            self._directory.apply_planned_loads(loads, message.token)
+        self._handlers[type(message)](message)
+
+    def _handle_status(self, status: Status) -> None:
+        self._directory.apply_status(status)
+        self._membership.record_store_report(status.vm, status.store_silent_ms / 1000.0)
+
+    def _handle_placement(self, update: PlacementUpdate) -> None:
+        for engine_items in update.engines:
+            self._directory.apply_engine_items(engine_items, update.token)
+        for loads in update.planned_loads:
+            self._directory.apply_planned_loads(loads, update.token)
 
     def _handle_demand(self, report: DemandReport) -> None:
         self._orders.fleet_demand.apply_report(report.vm, report.items, self._now())
