Let upstreams name request limits in the soak

Limits are drawn from the run's seed apart from its faults, so that earlier seeds play the same faults. Requests are counted at the upstream in every 4 s, from nodes that were told half a second before, without an excuse for restarts, pauses and cuts.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,10 +19,12 @@
 from soak.faulty_link import LinkMode
 from soak.fleet import SoakFleet
 from soak.guarantees import ExecutionRecord
+from soak.guarantees import LimitedArrival
 from soak.guarantees import Observations
 from soak.guarantees import find_violations
 from soak.schedule import Fault
 from soak.schedule import draw_faults
+from soak.schedule import draw_limits
 
 LINK_MODES = {
     "link_delay": LinkMode.DELAY,
@@ -70,6 +72,7 @@
         return Observations(
             results=[result for caller in self._callers for result in caller.results],
             runs=self._read_runs(),
+            limited=self._read_limited(),
             faults=self._faults,
             versions=self._versions,
             overcommitted=[
@@ -100,6 +103,8 @@
             self._fleet.configure()
         elif kind == "drain":
             self._drain(fault)
+        elif kind == "limit":
+            self._limit(fault)
         else:
             self._restart_process(kind, target)
 
@@ -111,6 +116,14 @@
         time.sleep(fault.duration_s)
         self._restart_process("upstream_kill", fault.target)
 
+    def _limit(self, fault: Fault) -> None:
+        try:
+            self._fleet.name_limit(fault.target, f"{fault.value:g}")
+            time.sleep(fault.duration_s)
+            self._fleet.name_limit(fault.target, None)
+        except OSError:  # the upstream was killed, and starts again without a limit
+            return
+
     def _restart_process(self, kind: str, target: str) -> None:
         process = self._fleet.processes[target]
         self._fleet.signal(target, signal.SIGCONT)
@@ -146,6 +159,16 @@
                     )
         return runs
 
+    def _read_limited(self) -> list[LimitedArrival]:
+        return [
+            LimitedArrival(
+                upstream=name, request_id=fields[1], at=float(fields[2]), limit=float(fields[3])
+            )
+            for name in self._fleet.upstream_ports
+            for fields in map(str.split, self._fleet.read_log(name).splitlines())
+            if len(fields) == 4 and fields[0] == "limited"
+        ]
+
 
 def run_soak(
     seed: Annotated[int, typer.Option(help="Seed of the faults and callers.")] = 1,
@@ -160,6 +183,7 @@
     """Run the programs under faults and check the observations against the guarantees."""
     fleet = SoakFleet(first_port=first_port, nodes=nodes)
     faults = draw_faults(seed, minutes * 60.0, list(fleet.caller_ports), list(fleet.upstream_ports))
+    faults += draw_limits(seed, minutes * 60.0, list(fleet.upstream_ports))
     threads = [
         Caller(fleet=fleet, rng=random.Random(f"{seed}/{number}")) for number in range(callers)
     ]
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -17,6 +17,9 @@
 NOT_RUN = (408, 421, 429, 503)
 DRAIN_NOTICE_S = 2.5  # 2 s, and 0.5 s in which the upstream's record reaches the nodes
 SETTLE_S = 3.0  # after a fault, updates from the store may still be late
+LIMIT_WINDOW_S = 4.0
+FIRST_LIMIT_WINDOW_S = 3.0  # after an upstream first named a limit
+TOLD_S = 0.5  # a node knows a limit this long after its first request that was answered with it
 STOP_GRACE_S = 6.0  # graceS in the nodes' settings
 
 
@@ -29,6 +32,16 @@
     at: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class LimitedArrival:
+    """One request that arrived at an upstream while it named a limit (requests a second)."""
+
+    upstream: str
+    request_id: str
+    at: float
+    limit: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class Observations:
     """What a soak test observed; all times, also those of faults, are in Unix seconds.
@@ -43,6 +56,7 @@
     versions: Sequence[tuple[str, int, int]]
     overcommitted: Sequence[str]
     failed_processes: Sequence[str]
+    limited: Sequence[LimitedArrival] = ()
 
 
 def find_violations(observations: Observations) -> list[str]:
@@ -53,6 +67,7 @@
         *_check_drains(observations),
         *_check_stops(observations),
         *_check_versions(observations),
+        *_check_limits(observations),
         *(f"memory of {name} was overcommitted" for name in observations.overcommitted),
         *(f"process {name} ended with an error" for name in observations.failed_processes),
     ]
@@ -126,6 +141,32 @@
     return violations
 
 
+def _check_limits(observations: Observations) -> list[str]:
+    """Check each window that ends 3 s or more after an upstream began to name a limit.
+
+    Requests count from nodes that got an answer with the limit half a second before.
+    """
+    node_of = {found.request_id: found.node for found in observations.results}
+    violations = []
+    for upstream in sorted({found.upstream for found in observations.limited}):
+        begins = told_from = -LIMIT_WINDOW_S
+        told: dict[str | None, float] = {}
+        counted: list[LimitedArrival] = []
+        for found in sorted(observations.limited, key=lambda arrival: arrival.at):
+            if found.upstream != upstream:
+                continue
+            if found.at > told_from + LIMIT_WINDOW_S:  # else the limit is the same as before
+                begins, told, counted = found.at, {}, []
+            told_from = found.at
+            if found.at < told.setdefault(node_of.get(found.request_id), found.at) + TOLD_S:
+                continue
+            counted = [at for at in counted if at.at > found.at - LIMIT_WINDOW_S] + [found]
+            allowed = 1.5 * LIMIT_WINDOW_S * max(at.limit for at in counted) + 5.0
+            if len(counted) > allowed and found.at >= begins + FIRST_LIMIT_WINDOW_S:
+                violations.append(f"{upstream} got {len(counted)} requests in 4 s, not {allowed:g}")
+    return violations
+
+
 def _has_other_fault(
     observations: Observations, begins: float, ends: float, ignored: Fault | None = None
 ) -> bool:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -26,19 +26,24 @@
 )
 MAX_GAP_S = 2.0
 MAX_DURATION_S = 4.0
+LIMITS_PER_S = (1.0, 3.0, 8.0)  # callers send tens of requests a second to each upstream
+LIMIT_GAP_S = 4.0
+MIN_LIMIT_DURATION_S, MAX_LIMIT_DURATION_S = 5.0, 15.0
 
 
 @dataclass(frozen=True, kw_only=True)
 class Fault:
     """A fault, or planned work such as a drain or a new configuration.
 
-    ``at`` is in seconds from the run's start, and in Unix seconds once the run has started.
+    ``at`` is in seconds from the run's start, and in Unix seconds once the run has started;
+    ``value`` is the limit of an upstream in requests a second.
     """
 
     at: float
     kind: str
     target: str
     duration_s: float
+    value: float = 0.0
 
     @property
     def ends_at(self) -> float:
@@ -68,6 +73,25 @@
     return faults
 
 
+def draw_limits(seed: int, seconds: float, upstreams: list[str]) -> list[Fault]:
+    """Return the request limits that upstreams name in a run, apart from its faults."""
+    rng = random.Random(f"{seed}/limits")
+    limits = []
+    at = rng.uniform(0.0, LIMIT_GAP_S)
+    while at < seconds:
+        limits.append(
+            Fault(
+                at=at,
+                kind="limit",
+                target=rng.choice(upstreams),
+                duration_s=rng.uniform(MIN_LIMIT_DURATION_S, MAX_LIMIT_DURATION_S),
+                value=rng.choice(LIMITS_PER_S),
+            )
+        )
+        at += rng.uniform(0.5, LIMIT_GAP_S)
+    return limits
+
+
 def _draw_target(rng: random.Random, kind: str, nodes: list[str], upstreams: list[str]) -> str:
     if kind.startswith("node"):
         return rng.choice(nodes)
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -15,7 +15,7 @@
 ``POST /test/limit`` sets the text of ``Server-Limit`` in every ``every``-th answer from then on;
 ``null`` ends it. ``GET /test/runs`` lists the IDs of the requests that ran, and under ``arrivals``
 ID, time and whether the answer names a limit of each request that arrived; standard output has a
-line with ID and time for each run.
+line with ID and time for each run, and with the limit for each arrival while there is one.
 """
 
 from __future__ import annotations
@@ -187,6 +187,8 @@
 
     def _name_limit(self, request: Request, request_id: str) -> None:
         named = self._limit is not None and len(self._arrivals) % self._limit_every == 0
+        if self._limit is not None:
+            print("limited", request_id, time.time(), self._limit, flush=True)
         self._arrivals.append((request_id, time.time(), named))
         if named:
             request.setHeader("Server-Limit", self._limit)
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -20,6 +20,7 @@
       | a node's stop broke a request's connection    |
       | a node went back to an older configuration    |
       | an engine's memory was overcommitted          |
+      | a limited service got 12 requests in 4 s      |
       | a node ended with an error                    |
 
   Scenario: The same seed draws the same faults
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -16,6 +16,7 @@
 from local.platform_deployment import ROOT
 from soak.callers import RequestResult
 from soak.guarantees import ExecutionRecord
+from soak.guarantees import LimitedArrival
 from soak.guarantees import Observations
 from soak.guarantees import find_violations
 from soak.schedule import Fault
@@ -79,6 +80,10 @@
     stop = Fault(at=START + 20.0, kind="node_stop", target="n1", duration_s=1.0)
     late = ExecutionRecord(upstream="e1", request_id="r90", at=START + 23.0)
     cut = result(20, started_at=START + 20.1, ended_at=START + 20.4, status=0)
+    limited = [
+        LimitedArrival(upstream="s1", request_id="r1", at=START + at, limit=1.0)
+        for at in (0.0, 3.0, *(6.0 + 0.1 * number for number in range(12)))
+    ]
     cases = {
         "an answer belongs to another request": {"results": [result(1, own=False)]},
         "a request that may run once ran twice": {"runs": [*baseline.runs, baseline.runs[3]]},
@@ -87,6 +92,7 @@
         "a node's stop broke a request's connection": {"faults": [stop], "results": [cut]},
         "a node went back to an older configuration": {"versions": [("n1", 7, 6), ("n1", 7, 3)]},
         "an engine's memory was overcommitted": {"overcommitted": ["e1"]},
+        "a limited service got 12 requests in 4 s": {"limited": limited},
         "a node ended with an error": {"failed_processes": ["n1 (1)"]},
     }
     for row in context.table:
