Take a node's process from its dump in the soak, and test the permit check before a send

The soak attributed a dump to the process in its own table, which is replaced a moment after the new process was started. The dump has pid for it, so observations that were dropped around restarts are checked now, too.

New scenario: a request whose permit ended while its connection opened is not written; it fails without the relay's check.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -139,13 +139,11 @@
     def _watch_versions(self) -> None:
         while not self._finished:
             for node in self._fleet.caller_ports:
-                pid = self._fleet.processes[node].pid
                 try:
-                    version = self._fleet.dump(node)["configuration_version"]
+                    state = self._fleet.dump(node)
+                    self._versions.append((node, state["pid"], state["configuration_version"]))
                 except (OSError, ValueError, KeyError):
                     continue
-                if self._fleet.processes[node].pid == pid:
-                    self._versions.append((node, pid, version))
             time.sleep(0.2)
 
     def _read_runs(self) -> list[ExecutionRecord]:
--- a/src/cactusshunt/node_state.py
+++ b/src/cactusshunt/node_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+
 from collections import Counter
 from typing import TYPE_CHECKING
 from typing import Any
@@ -66,6 +68,7 @@
         now = self._clock()
         return {
             "vm": self._vm,
+            "pid": os.getpid(),
             "configuration_version": self._version,
             "stopping": self.stopping,
             "in_flight": self._callers.in_flight,
--- a/tests/limits/request_limits.feature
+++ b/tests/limits/request_limits.feature
@@ -40,6 +40,11 @@
     When a VM is frozen for 3 seconds between the choice of the engine and the send
     Then the request is not sent with the old permit
 
+  Scenario: A request is not sent with a permit that ended while its connection opened
+    Given 2 VMs and an engine that names a limit of 4 requests a second
+    When the connection for a request with a permit opens 2 seconds late
+    Then nothing is written to the connection
+
   Scenario: Other VMs know a limit before each has been told by its own answer
     Given 63 VMs and an engine that names a limit of 1 requests a second
     When one VM gets an answer with the limit
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 
+from types import SimpleNamespace
 from typing import Any
 
 import msgspec
@@ -12,8 +13,7 @@
 from behave import given
 from behave import then
 from behave import when
-from steps.simulated_limits import ENGINE
-from steps.simulated_limits import SimulatedLimits
+from twisted.internet.defer import Deferred
 
 from cactusshunt.membership.messages import DemandReport
 from cactusshunt.membership.messages import LimitReport
@@ -25,9 +25,26 @@
 from cactusshunt.membership.messages import UpstreamLimit
 from cactusshunt.membership.messages import UpstreamPermits
 from cactusshunt.membership.messages import encode_message
+from cactusshunt.requests.answer_sink import AnswerSink
+from cactusshunt.requests.relay import Relay
+from cactusshunt.requests.retry_allowance import RetryAllowance
+from tests.steps.simulated_limits import ENGINE
+from tests.steps.simulated_limits import SimulatedLimits
+from tests.steps.simulated_limits import make_job
 
 SETTLED_S = 5.0  # after a limit was named
 FAULT_SECONDS = 25
+RELAYED_JOB = {
+    "running": False,
+    "headers": [],
+    "last_sent_at": None,
+    "resumed": False,
+    "cancellable": True,
+    "kind": "idempotent",
+    "on_timeout": None,
+    "attempt_first_byte_at": 0.0,
+    "retry_after_s": 0.3,
+}
 
 
 @given("{vms:d} VMs and an engine that names a limit of {limit:g} requests a second")
@@ -162,6 +179,50 @@
     context.permit = permit
 
 
+@when("the connection for a request with a permit opens 2 seconds late")
+def open_late(context: Any) -> None:
+    fleet = context.fleet
+    get_answer(context, "4")
+    vm = fleet.vms["vm0"]
+    opening: list[Deferred[Any]] = []
+    context.written = []
+
+    def write(*request: Any) -> Deferred[Any]:
+        context.written.append(request)
+        return Deferred()
+
+    pool: Any = SimpleNamespace(
+        acquire=lambda address: opening.append(Deferred()) or opening[-1],
+        release=lambda address, connection: None,
+    )
+    relay = Relay(
+        reactor=vm.reactor,  # type: ignore[arg-type]
+        pool=pool,
+        directory=vm.directory,
+        picker=vm.picker,
+        allowance=RetryAllowance(ratio=0.2, window_s=10.0, spare=10.0, started_at=0.0),
+        limits=vm.limits,
+    )
+    job = make_job(5)
+    for name, value in RELAYED_JOB.items():
+        setattr(job, name, value)
+    job.deadline = fleet.clock.seconds() + 10.0
+    job.request = SimpleNamespace(method=b"GET", target=b"/", body=b"", arrived_at=0.0)
+    job.sink = AnswerSink(
+        connection=job.connection, request_id=b"r", streams=False, clock=fleet.clock.seconds
+    )
+    Deferred.fromCoroutine(relay.run(job))
+    while not opening:
+        fleet.clock.advance(0.1)
+    fleet.clock.advance(2.0)
+    opening[0].callback(SimpleNamespace(exchange=write, cancel=lambda: None))
+
+
+@then("nothing is written to the connection")
+def check_nothing_written(context: Any) -> None:
+    assert not context.written, context.written
+
+
 @then("the request is not sent with the old permit")
 def check_not_sent(context: Any) -> None:
     assert not context.fleet.vms["vm0"].limits.may_send(ENGINE, context.permit)
--- a/tests/steps/simulated_limits.py
+++ b/tests/steps/simulated_limits.py
@@ -55,6 +55,28 @@
             self.run(run, *arguments)
 
 
+def make_job(priority: int) -> Any:
+    """Return a caller's request for the engine's model, as far as the picker and relay read it."""
+    return SimpleNamespace(
+        generation=SimpleNamespace(model="m", adapter="", prompt_tokens=100, prompt_parts=()),
+        service="s",
+        item="m",
+        request_id=b"r",
+        route=SimpleNamespace(
+            name="r", priority=priority, target_latency_ms=1500.0, attempts=1, can_resume=False
+        ),
+        connection=SimpleNamespace(disconnected=False),
+        done=False,
+        long_running=False,
+        excluded_upstreams=set(),
+        outcomes=[],
+        permit_wait=None,
+        sink=SimpleNamespace(forwarding_started=False),
+        remaining_first_byte_ms=lambda now: REQUEST_TIMEOUT_MS,
+        left_ms=lambda now: REQUEST_TIMEOUT_MS,
+    )
+
+
 class SimulatedVm:
     """One VM; ``limited`` is false for an earlier version, which ignores limits."""
 
@@ -116,20 +138,7 @@
         """Handle a caller's request as the relay does, up to the send."""
         if self.reactor.killed or self.reactor.frozen:
             return
-        route = SimpleNamespace(name="r", priority=priority, target_latency_ms=1500.0)
-        job = SimpleNamespace(
-            generation=SimpleNamespace(model="m", adapter="", prompt_tokens=100, prompt_parts=()),
-            service="s",
-            item="m",
-            request_id=b"r",
-            route=route,
-            connection=SimpleNamespace(disconnected=False),
-            done=False,
-            long_running=False,
-            excluded_upstreams=set(),
-            permit_wait=None,
-            remaining_first_byte_ms=lambda now: REQUEST_TIMEOUT_MS,
-        )
+        job = make_job(priority)
         picking = Deferred.fromCoroutine(self.picker.pick(job))  # type: ignore[arg-type]
         picking.addCallback(self._connect, priority)
 
