--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -36,6 +36,7 @@
 FAULT_SECONDS = 25
 RELAYED_JOB = {
     "running": False,
+    "repeatable": True,
     "headers": [],
     "last_sent_at": None,
     "resumed": False,
--- a/tests/steps/request_limit_steps.py
+++ b/tests/steps/request_limit_steps.py
@@ -22,6 +22,7 @@
 
 FIRST_PORT = 9500
 LIMITED_ENGINE = "e2"  # the only one that holds "tags" at first
+OTHER_ENGINE = "e1"
 WINDOW_S = 4.0  # over which requests are counted
 WINDOW_FACTOR = 1.5
 WINDOW_SPARE = 5.0
@@ -38,6 +39,7 @@
     context.limit = limit
     context.node_of = {}
     context.answers = []
+    deployment.inject_fault(OTHER_ENGINE, "drain")  # or it would load the model
     deployment.name_limit(LIMITED_ENGINE, str(limit))
 
 
--- a/tests/steps/simulated_limits.py
+++ b/tests/steps/simulated_limits.py
@@ -65,7 +65,7 @@
         route=SimpleNamespace(
             name="r", priority=priority, target_latency_ms=1500.0, attempts=1, can_resume=False
         ),
-        connection=SimpleNamespace(disconnected=False),
+        connection=SimpleNamespace(disconnected=False, answer=lambda *answer: None),
         done=False,
         long_running=False,
         excluded_upstreams=set(),
@@ -201,6 +201,7 @@
         self.bytes_sent: defaultdict[str, int] = defaultdict(int)
         self.registered: dict[str, PeerRecord] = {}
         self.vms: dict[str, SimulatedVm] = {}
+        self._show_scheduled = False
         for number in range(vms):
             name = f"vm{number}"
             self.vms[name] = SimulatedVm(self, name, limited=number >= earlier_vms)
@@ -214,12 +215,12 @@
         self.registered[name] = PeerRecord(
             address=name, port=1, availability_zone=vm.zone, message_version=version
         )
-        self.clock.callLater(STORE_DELAY_S, self._show_vms)
+        self._show_vms_soon()
 
     def remove(self, name: str) -> None:
         """End a VM's registration."""
         self.registered.pop(name, None)
-        self.clock.callLater(STORE_DELAY_S, self._show_vms)
+        self._show_vms_soon()
 
     def set_limit(self, limit: float | None, every: int = 1) -> None:
         """Name a limit in every ``every``-th answer from now on, ``None`` in none."""
@@ -329,7 +330,13 @@
         if self.vms[name].reactor.killed:
             self.remove(name)
 
+    def _show_vms_soon(self) -> None:
+        if not self._show_scheduled:
+            self._show_scheduled = True
+            self.clock.callLater(STORE_DELAY_S, self._show_vms)
+
     def _show_vms(self) -> None:
+        self._show_scheduled = False
         for vm in self.vms.values():
             if "store" not in vm.cut_from:
                 vm.reactor.run(vm.see_vms, {**self.registered})
