Tell refused callers times that add up to the limit over all VMs

Each VM spaced the times at which its refused callers should return by the issuer's rate over the VMs that had demand waiting at the moment, mostly one. So every VM promised the whole rate: 8 simulated VMs, limit 2, tenfold traffic: 19 callers in 4 s, where the limit allows 8.

The issuer now counts the VMs that asked within the last 3 s. New scenario, bound 1.5 times the limit: 19 before, within 12 after.

--- a/src/cactusshunt/limits/permit_issuer.py
+++ b/src/cactusshunt/limits/permit_issuer.py
@@ -19,6 +19,7 @@
 
 PERMIT_LIFETIME_S = 1.0  # from when its VM sent the demand
 DELEGATION_LIFETIME_S = 1.5  # a report of a VM may be lost before its share ends
+ASKING_VM_RETENTION_S = 3.0  # a VM with demand that it refuses asks again sooner
 DEMAND_LIFETIME_S = 0.5  # demand is repeated before; a permit for older demand would end too soon
 EXPIRY_INTERVAL_S = 0.05  # between two searches for shares and demand that have ended
 SAVED_PERMITS_SPARE = 5.0  # what an upstream accepts beyond its limit in a window
@@ -77,6 +78,7 @@
         self._expiry_due_at = now
         self._delegated_until: dict[str, float] = {}
         self._waiting: dict[str, _WaitingVm] = {}
+        self._asked_at: dict[str, float] = {}
         self.rate = IssueRate(per_s=0.0, most_saved=0.0)
 
     @property
@@ -91,8 +93,8 @@
 
     @property
     def asking_vms(self) -> int:
-        """Return how many VMs wait for permits."""
-        return len(self._waiting)
+        """Return how many VMs asked for permits of late; they share the rate."""
+        return len(self._asked_at)
 
     def delegate(self, vm: str, now: float) -> None:
         """Add or extend a VM's share."""
@@ -103,6 +105,7 @@
         if not demand.waiting:
             self._waiting.pop(vm, None)
             return
+        self._asked_at[vm] = demand.received_at
         known = self._waiting.get(vm)
         since = {}
         for priority, count in demand.waiting.items():
@@ -170,3 +173,6 @@
             for vm, waiting in self._waiting.items()
             if now - waiting.received_at < DEMAND_LIFETIME_S
         }
+        self._asked_at = {
+            vm: at for vm, at in self._asked_at.items() if now - at < ASKING_VM_RETENTION_S
+        }
--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -141,7 +141,7 @@
     """Permits for one upstream, and what determines how soon there are more.
 
     ``waiting_elsewhere`` counts the waiting requests of other VMs by priority, ``asking_vms`` the
-    VMs that wait; ``saved`` permits may be issued at once, ``per_s`` more each second.
+    VMs that asked of late; ``saved`` permits may be issued at once, ``per_s`` more each second.
     """
 
     upstream: str
--- a/tests/limits/request_limits.feature
+++ b/tests/limits/request_limits.feature
@@ -89,6 +89,11 @@
     When callers send 10 times the limit through one VM for 2 seconds
     Then the times at which refused callers should return are at least 0.4 seconds apart
 
+  Scenario: The times at which all VMs tell refused callers to return add up to the limit
+    Given 8 VMs and an engine that names a limit of 2 requests a second
+    When callers send 10 times the limit through all VMs for 6 seconds
+    Then of the callers refused in the last 3 seconds at most 1.5 times the limit return in any 4 seconds
+
   Scenario: Nothing is sent between VMs while no upstream names a limit
     Given 8 VMs and an engine that names no limit
     When callers send 10 requests a second through all VMs for 5 seconds
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -34,6 +34,7 @@
 
 SETTLED_S = 5.0  # after a limit was named
 FAULT_SECONDS = 25
+RETURN_HORIZON_S = 20.0  # callers that would return much later are all told the same time
 RELAYED_JOB = {
     "running": False,
     "repeatable": True,
@@ -264,12 +265,27 @@
 
 @then("the times at which refused callers should return are at least {seconds:g} seconds apart")
 def check_returns(context: Any, seconds: float) -> None:
-    returns = sorted(context.fleet.returns)
+    returns = sorted(at for _, at in context.fleet.refused_at)
     pauses = [later - earlier for earlier, later in itertools.pairwise(returns)]
     assert len(pauses) > 10
     assert min(pauses) >= seconds, pauses
 
 
+@then(
+    "of the callers refused in the last {seconds:g} seconds at most {factor:g} times the limit "
+    "return in any {window:g} seconds"
+)
+def check_returns_add_up(context: Any, seconds: float, factor: float, window: float) -> None:
+    fleet = context.fleet
+    since = fleet.clock.seconds() - seconds
+    returns = sorted(at for refused_at, at in fleet.refused_at if refused_at >= since)
+    end = fleet.clock.seconds() + RETURN_HORIZON_S
+    most = max(
+        sum(first <= at < first + window for at in returns) for first in returns if first < end
+    )
+    assert most <= factor * context.limit * window, most
+
+
 @then("VMs sent each other no datagrams, and the engine got every request")
 def check_unchanged(context: Any) -> None:
     context.fleet.clock.advance(1.0)
--- a/tests/steps/simulated_limits.py
+++ b/tests/steps/simulated_limits.py
@@ -146,7 +146,8 @@
         if picked.upstream is None:
             fleet = self._fleet
             fleet.refused[priority].append(picked.refusal.retry_after_s)
-            fleet.returns.append(fleet.clock.seconds() + picked.refusal.retry_after_s)
+            now = fleet.clock.seconds()
+            fleet.refused_at.append((now, now + picked.refusal.retry_after_s))
             return
         delay = self._fleet.random.choice((0.0, 0.001, 0.3))
         self.reactor.callLater(delay, self._send, picked, priority)
@@ -196,7 +197,7 @@
         self.counted: list[float] = []
         self.first_named_at: float | None = None
         self.refused: defaultdict[int, list[float]] = defaultdict(list)
-        self.returns: list[float] = []
+        self.refused_at: list[tuple[float, float]] = []  # with the time at which to return
         self.requests = 0
         self.bytes_sent: defaultdict[str, int] = defaultdict(int)
         self.registered: dict[str, PeerRecord] = {}
