--- a/tests/steps/simulated_limits.py
+++ b/tests/steps/simulated_limits.py
@@ -191,11 +191,11 @@
         self.limits: list[tuple[float, float]] = []
         self.born = 1
         self.arrivals: list[tuple[float, str, int]] = []
-        # times of requests from VMs that know limits: all since 0.5 s after the engine first named
-        # one, and those from VMs that forwarded an answer with it at least 0.5 s before
-        self.after_naming: list[float] = []
-        self.counted: list[float] = []
-        self.first_named_at: float | None = None
+        # by start of the engine, times of requests from VMs that know limits: all since 0.5 s after
+        # it first named one, and those from VMs that forwarded an answer with it 0.5 s before
+        self.after_naming: defaultdict[int, list[float]] = defaultdict(list)
+        self.counted: defaultdict[int, list[float]] = defaultdict(list)
+        self.first_named_at: dict[int, float] = {}
         self.refused: defaultdict[int, list[float]] = defaultdict(list)
         self.refused_at: list[tuple[float, float]] = []  # with the time at which to return
         self.requests = 0
@@ -232,6 +232,7 @@
         """Start the engine again at the same address; VMs that reach the store see it."""
         self.born += 1
         for vm in self.vms.values():
+            vm.told_at = None
             if "store" not in vm.cut_from:
                 vm.reactor.run(vm.see_engine)
 
@@ -277,14 +278,14 @@
         """Take a request at the engine, and answer it."""
         now = self.clock.seconds()
         self.arrivals.append((now, vm.name, priority))
-        if vm.limited and self.first_named_at is not None and now >= self.first_named_at + 0.5:
-            self.after_naming.append(now)
+        if vm.limited and now >= self.first_named_at.get(self.born, now) + 0.5:
+            self.after_naming[self.born].append(now)
         if vm.limited and vm.told_at is not None and now >= vm.told_at + 0.5:
-            self.counted.append(now)
+            self.counted[self.born].append(now)
         headers = []
         if self.limit is not None and len(self.arrivals) % self.named_every == 0:
             headers = [(b"Server-Limit", self.limit.encode())]
-            self.first_named_at = self.first_named_at or now
+            self.first_named_at.setdefault(self.born, now)
         delay = self.random.uniform(0.005, 0.1)
         self.clock.callLater(delay, vm.reactor.run, vm.receive_answer, headers)
 
@@ -299,16 +300,17 @@
             delay, receiver.reactor.run, receiver.link.datagramReceived, data, None
         )
 
-    def find_worst_window(self, times: list[float]) -> tuple[float, int, float]:
+    def find_worst_window(self, times_by_start: dict[int, list[float]]) -> tuple[float, int, float]:
         """Return end, requests and allowed requests of the 4 s with the largest excess."""
         worst = (0.0, 0, 1e9)
-        for end in times:
-            if self.first_named_at is None or end < self.first_named_at + 3.0:
-                continue
-            count = sum(end - 4.0 < at <= end for at in times)
-            allowed = 6.0 * self._highest_limit(end - 4.0, end) + 5.0
-            if count - allowed > worst[1] - worst[2]:
-                worst = (end, count, allowed)
+        for born, times in times_by_start.items():
+            for end in times:
+                if end < self.first_named_at[born] + 3.0:
+                    continue
+                count = sum(end - 4.0 < at <= end for at in times)
+                allowed = 6.0 * self._highest_limit(end - 4.0, end) + 5.0
+                if count - allowed > worst[1] - worst[2]:
+                    worst = (end, count, allowed)
         return worst
 
     def measure_rate(self, seconds: float) -> float:
