--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -112,12 +112,16 @@
             log_is_read=log_is_read,
         )
 
-    def configure(self, routes: list[dict[str, Any]] | None = None) -> int:
-        """Write a new configuration as the operator does and return its version."""
-        self._version += 3
+    def configure(
+        self, routes: list[dict[str, Any]] | None = None, *, version: int | None = None
+    ) -> int:
+        """Write a configuration, by default a new one, as the operator does; return its version."""
+        if version is None:
+            self._version += 3
+            version = self._version
         models = [{"name": name, "weightsSizeMb": 100, "loadS": 0.2} for name in MODELS]
         document = {
-            "version": self._version,
+            "version": version,
             "routes": standard_routes() if routes is None else routes,
             "services": [
                 {
@@ -133,7 +137,7 @@
             ],
         }
         self.put("op/config", json.dumps(document))
-        return self._version
+        return version
 
     def put(self, key: str, value: str) -> None:
         """Write a key of the store as the operator or an engine does."""
@@ -143,6 +147,16 @@
         """Make the store's calls fail, or succeed again."""
         call(self.store, "POST", "/test/mode", {"down": down})
 
+    def save_store(self) -> None:
+        """Make a copy of the store, from which ``restore_store`` lets it come back."""
+        call(self.store, "POST", "/test/save")
+
+    def restore_store(self, away_s: float, *, names_era: bool = True) -> None:
+        """Let the store go away and come back from its copy ``away_s`` later."""
+        body = {"away_s": away_s, "names_era": names_era}
+        call(self.store, "POST", "/test/restore", body)
+        wait_until(lambda: call(self.store, "GET", "/v1/kv-range?prefix=op/")[0] == 200)
+
     def inject_fault(self, engine: str, kind: str, count: int = 1) -> None:
         """Set the fault of an upstream's next ``count`` requests, or make it drain."""
         call(self.upstream_ports[engine], "POST", "/test/fault", {"kind": kind, "count": count})
--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -3,6 +3,11 @@
 Run as ``python -m stand_ins.platform_store PORT``. ``POST /test/put`` writes keys as the operator
 does, ``POST /test/mode`` with ``down`` makes calls fail, and ``GET /test/counts`` returns the
 number of calls by action.
+
+``POST /test/save`` makes a copy of the store. ``POST /test/restore`` with ``away_s`` makes it come
+back from that copy after a time in which calls fail: the copy's revisions and lease IDs are given
+out again, leases and the keys bound to them are gone, and ``Store-Era`` is larger by one. With
+``names_era`` false answers no longer have that header.
 """
 
 from __future__ import annotations
@@ -11,6 +16,7 @@
 import sys
 
 from collections import Counter
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -30,6 +36,16 @@
 MAX_HISTORY_EVENTS = 10_000  # kept for watches that start at an older revision
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoreCopy:
+    """What a copy of the store keeps; leases and the keys bound to them are lost."""
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+    history: list[dict[str, Any]]
+    next_lease: int
+
+
 class PlatformStoreStandIn:
     """The store's HTTP interface and its state in memory."""
 
@@ -42,6 +58,9 @@
         self._watches: list[tuple[Request, str, int]] = []
         self._down = False
         self._counts: Counter[str] = Counter()
+        self._era = 1
+        self._names_era = True
+        self._copy: StoreCopy | None = None
 
     def handle(self, request: Request) -> Any:
         """Answer a call, or abort its connection while the store is down."""
@@ -53,21 +72,55 @@
         if self._down:
             abort_connection(request)
             return NOT_DONE_YET
+        if self._names_era:
+            request.setHeader("Store-Era", str(self._era))
         action = path.split("/")[2]
         return getattr(self, "_" + action.replace("kv-", "do_").replace("-", "_"))(request)
 
     def _handle_control(self, path: str, request: Request) -> Any:
         if path == "/test/counts":
             return dict(self._counts)
+        if path == "/test/save":
+            self._save()
+            return {"at": self._revision}
         body = read_json(request)
         if path == "/test/mode":
             self._down = bool(body["down"])
             return {}
+        if path == "/test/restore":
+            self._names_era = bool(body.get("names_era", True))
+            self._down = True
+            self._abort_watches()
+            reactor.callLater(float(body["away_s"]), self._restore)
+            return {}
         for key, value in body["items"].items():
             self._write(key, base64.b64encode(value.encode()).decode(), 0)
         self._answer_watches()
         return {"at": self._revision}
 
+    def _save(self) -> None:
+        self._copy = StoreCopy(
+            revision=self._revision,
+            items={key: item for key, item in self._items.items() if not item["lease"]},
+            history=list(self._history),
+            next_lease=self._next_lease,
+        )
+
+    def _restore(self) -> None:
+        assert self._copy is not None
+        self._revision = self._copy.revision
+        self._items = dict(self._copy.items)
+        self._history = list(self._copy.history)
+        self._next_lease = self._copy.next_lease
+        self._leases = {}
+        self._era += 1
+        self._down = False
+
+    def _abort_watches(self) -> None:
+        for watch in list(self._watches):
+            self._remove_watch(watch)
+            abort_connection(watch[0])
+
     def _do_range(self, request: Request) -> Any:
         prefix = _read_argument(request, "prefix")
         items = [item for key, item in sorted(self._items.items()) if key.startswith(prefix)]
@@ -76,6 +129,8 @@
     def _do_watch(self, request: Request) -> Any:
         prefix = _read_argument(request, "prefix")
         after = int(_read_argument(request, "after"))
+        if after > self._revision:
+            return encode_answer(request, {}, 410)
         events = self._list_events(prefix, after)
         if events:
             return {"events": events, "currentRev": self._revision}
