Give up what the store granted before it came back from a copy

Cause: the fencing token was the holder key's revision, which is lower after the store came back from a copy: engines that check tokens refuse the new holder and VMs ignore its updates. A lease ID that was given out again was renewed by two VMs, and the copy's list of former holders lacks the latest one, whose tenure may still last.

Change: tokens rise with the era; a VM that sees a new era gives up lease, registration and tenure; the holder key counts only with the present lease; a new holder waits as if an unlisted one came before.

Result: 60 random runs of 3 VMs under cuts and returns: one sends orders at a time, tokens only rise, no replaced VM orders again within 3 s, one orders in the end. Found by it while this was written, and mended: a holder key that appeared and vanished between two full reads kept all VMs from standing for election.

--- a/src/cactusshunt/membership/membership_task.py
+++ b/src/cactusshunt/membership/membership_task.py
@@ -17,6 +17,7 @@
 from cactusshunt.membership.peer_link import PeerRecord
 from cactusshunt.membership.tenure import RENEWAL_FRACTION
 from cactusshunt.membership.tenure import STORE_SILENCE_S
+from cactusshunt.membership.tenure import UNKNOWN_HOLDER
 from cactusshunt.membership.tenure import StoreReport
 from cactusshunt.membership.tenure import Tenure
 from cactusshunt.membership.tenure import begin_tenure
@@ -32,6 +33,8 @@
 if TYPE_CHECKING:
     from twisted.internet.base import ReactorBase
 
+    from cactusshunt.configuration.store_era import StoreEra
+    from cactusshunt.configuration.store_era import StorePosition
     from cactusshunt.membership.peer_link import PeerLink
     from cactusshunt.platform.store import PlatformStore
 
@@ -53,6 +56,7 @@
         *,
         reactor: ReactorBase,
         store: PlatformStore,
+        era: StoreEra,
         link: PeerLink,
         vm: str,
         record: PeerRecord,
@@ -61,6 +65,8 @@
     ) -> None:
         self._reactor = reactor
         self._store = store
+        self._era = era
+        era.on_change.append(self._forget_era)
         self._link = link
         self._vm = vm
         self._record = record
@@ -70,10 +76,13 @@
         self._lease_id = 0
         self._renewal_sent_at = 0.0
         self._registered = False
-        # the holder key's value (``vm/incarnation``) and its revision
-        self._holder: tuple[str, int] | None = None
-        # revisions of the last-holder key, each with its VM names
-        self._former_holders: list[tuple[int, list[str]]] = []
+        # the holder key's value (``vm/incarnation``) and its position
+        self._holder: tuple[str, StorePosition] | None = None
+        # positions of the last-holder key, each with its VM names
+        self._former_holders: list[tuple[StorePosition, list[str]]] = []
+        # Until then, a holder that the store's list lacks may still send orders.
+        self._unlisted_holders_end_at = reactor.seconds() + lease_s + reelection_delay_s
+        self._holders_of_earlier_era: list[str] = []
         self._vacant_since: float | None = None
         self._store_was_read = False
         self._tenure = Tenure()
@@ -154,7 +163,7 @@
             names = (item.value or b"").decode(errors="replace").split(",")
             self._former_holders = [
                 *self._former_holders[-1:],
-                (item.revision, [name for name in names if name]),
+                (item.position, [name for name in names if name]),
             ]
         elif item.key.startswith(VM_PREFIX):
             self._apply_vm_record(item)
@@ -200,7 +209,12 @@
             self._renewal_sent_at = sent
             self._registered = False
         else:
-            await self._store.renew_lease(self._lease_id, deadline=deadline)
+            lease = self._lease_id
+            await self._store.renew_lease(lease, deadline=deadline)
+            if self._lease_id != lease:  # another VM may have been given this ID in the new era
+                raise LeaseEndedError(
+                    reason="The store came back from a copy.", remedy="Create a new one."
+                )
             self.record_store_answer()
             self._renewal_sent_at = sent
             if self.tenure.elected:
@@ -218,7 +232,12 @@
         await self._stand_for_election()
 
     async def _stand_for_election(self) -> None:
-        if not self._store_was_read or self._holder is not None or self._vacant_since is None:
+        if not self._store_was_read:
+            return
+        if self._holder is not None and self._holds_key_without_tenure(*self._holder):
+            await self._release_holder_key(self._holder[1])
+            return
+        if self._holder is not None or self._vacant_since is None:
             return
         former = self._find_holders_before(None)
         delay = compute_election_delay_s(
@@ -231,36 +250,65 @@
         if self._now() < self._vacant_since + delay:
             return
         value = f"{self._vm}/{self._incarnation}".encode()
-        holders = [*former[-MAX_FORMER_HOLDERS:], self._vm]
+        known = [name for name in former if name != UNKNOWN_HOLDER]
+        holders = [*known[-MAX_FORMER_HOLDERS:], self._vm]
+        lease = self._lease_id
         position = await self._store.commit(
             expected={HOLDER_KEY: ABSENT},
             puts={HOLDER_KEY: value},
             unleased_puts={LAST_HOLDER_KEY: ",".join(holders).encode()},
-            lease=self._lease_id,
+            lease=lease,
             deadline=self._now() + CALL_TIMEOUT_S,
         )
-        self._apply_holder(StoredItem(key=HOLDER_KEY, value=value, revision=position.revision))
+        self._apply_holder(
+            StoredItem(
+                key=HOLDER_KEY,
+                value=value,
+                revision=position.revision,
+                era=position.era,
+                lease=lease,
+            )
+        )
+
+    def _holds_key_without_tenure(self, holder: str, position: StorePosition) -> bool:
+        """Return whether the holder key names this process, which may not send orders by it."""
+        is_own = holder == f"{self._vm}/{self._incarnation}"
+        return is_own and position.era == self._era.number and not self._tenure.elected
+
+    async def _release_holder_key(self, position: StorePosition) -> None:
+        """Remove a holder key that names this process but is not bound to its lease."""
+        log_event("holder_key_released", token=position.token)
+        try:
+            await self._store.commit(
+                expected={HOLDER_KEY: position.revision},
+                puts={},
+                removals=[HOLDER_KEY],
+                deadline=self._now() + CALL_TIMEOUT_S,
+            )
+        except CompareFailedError:  # it was removed before this VM read the store
+            self._record_vacancy()
 
     def _apply_holder(self, item: StoredItem) -> None:
         now = self._now()
         if item.value is None:
             if self._tenure.elected:
                 log_event("right_lost", reason="the holder key was removed")
-            self._holder = None
-            self._vacant_since = now
+            self._record_vacancy()
             self._tenure = Tenure()
             return
         name = item.value.decode(errors="replace")
-        self._holder = (name, item.revision)
+        self._holder = (name, item.position)
         self._vacant_since = None
-        if name != f"{self._vm}/{self._incarnation}":
+        token = item.position.token
+        is_own = name == f"{self._vm}/{self._incarnation}" and item.lease == self._lease_id
+        if not is_own:
             self._tenure = Tenure()
             return
-        if self._tenure.token == item.revision:
+        if self._tenure.token == token:
             return
-        former = self._find_holders_before(item.revision)
+        former = self._find_holders_before(item.position)
         self._tenure = begin_tenure(
-            token=item.revision,
+            token=token,
             now=now,
             renewal_sent_at=self._renewal_sent_at,
             lease_s=self._lease_s,
@@ -271,7 +319,7 @@
         )
         self._last_tenure = self._tenure
         waits_s = round(self._tenure.begins_at - now, 3)
-        log_event("right_won", token=item.revision, former=former, waits_s=waits_s)
+        log_event("right_won", token=token, former=former, waits_s=waits_s)
 
     def count_recent_vms(self, now: float) -> int:
         """Return the number of VMs registered within the retention time, this one included."""
@@ -295,10 +343,18 @@
         }
         return [self._record.availability_zone, *(z for _, z in self._registered_vms.values())]
 
-    def _find_holders_before(self, revision: int | None) -> list[str]:
-        """Return the holders before a revision of the store, the latest one last."""
-        known = [names for at, names in self._former_holders if revision is None or at < revision]
-        return known[-1] if known else []
+    def _find_holders_before(self, position: StorePosition | None) -> list[str]:
+        """Return the holders before a position of the store, the latest one last.
+
+        The store's own list may lack the latest ones if it came back from a copy, which a process
+        that has just started does not know.
+        """
+        known = [names for at, names in self._former_holders if position is None or at < position]
+        names = known[-1] if known else []
+        if self._now() >= self._unlisted_holders_end_at:
+            return names
+        names = [*names, *self._holders_of_earlier_era]
+        return [*names, UNKNOWN_HOLDER] if names else names
 
     def _apply_vm_record(self, item: StoredItem) -> None:
         vm = item.key.removeprefix(VM_PREFIX)
@@ -323,6 +379,21 @@
         if vm != self._vm:
             self._registered_vms[vm] = (self._now(), record.availability_zone)
 
+    def _forget_era(self) -> None:
+        """Give up everything that the store granted before it came back from a copy."""
+        former = [name for name in self._find_holders_before(None) if name != UNKNOWN_HOLDER]
+        if self._last_tenure.elected:  # the view may not have shown it yet
+            former.append(self._vm)
+        self._holders_of_earlier_era = [*former[-MAX_FORMER_HOLDERS:], UNKNOWN_HOLDER]
+        self._unlisted_holders_end_at = self._now() + self._lease_s + self._reelection_delay_s
+        self._last_tenure = Tenure()
+        self._forget_lease("the store came back from a copy")
+        self._record_vacancy()
+
+    def _record_vacancy(self) -> None:
+        self._holder = None
+        self._vacant_since = self._now()
+
     def _forget_lease(self, reason: str) -> None:
         if self._tenure.elected:
             log_event("right_lost", reason=reason)
--- a/src/cactusshunt/membership/tenure.py
+++ b/src/cactusshunt/membership/tenure.py
@@ -17,6 +17,7 @@
 TENURE_FRACTION = 0.55
 RENEWAL_FRACTION = 0.25  # a lease is renewed after this fraction of its length
 NO_TOKEN = 0
+UNKNOWN_HOLDER = "?"  # among former holders: one that the store's list may lack
 MIN_ELECTION_DELAY_S = 0.02  # other changes, such as the former holders, arrive within it
 RANK_DELAY_FRACTION = 0.2  # each rank stands for election this fraction of a lease later
 MAX_ELECTION_DELAY_FRACTION = 2.0  # no rank waits for more than this many leases
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -97,6 +97,7 @@
         self._membership = MembershipTask(
             reactor=reactor,
             store=self._lease_store,
+            era=self._era,
             link=self._link,
             vm=settings.node,
             record=PeerRecord(
--- a/tests/configuration/store_copies.feature
+++ b/tests/configuration/store_copies.feature
@@ -30,3 +30,7 @@
   Scenario: Views agree with a store that came back from copies, and never go back
     Given a store that goes away and comes back from copies at random
     Then after 60 random runs each of 4 views agrees with the store and never went back
+
+  Scenario: Order holders are elected by a store that gives out revisions and leases again
+    Given a store that goes away and comes back from copies at random
+    Then in 60 random runs of 3 VMs at most one sends orders at a time, fencing tokens only rise, no replaced VM orders again within the re-election delay, and one orders in the end
--- a/tests/steps/simulated_store_steps.py
+++ b/tests/steps/simulated_store_steps.py
@@ -16,7 +16,15 @@
 from simulated_store import SimulatedVm
 from twisted.internet.task import Clock
 
+from cactusshunt.membership.membership_task import MembershipTask
+from cactusshunt.membership.peer_link import PeerLink
+from cactusshunt.membership.peer_link import PeerRecord
+from cactusshunt.platform.documents import SYSTEM_PREFIX
+from cactusshunt.tasks.periodic import start_coroutine
+
 STEP_S = 0.01
+LEASE_S = 1.6
+REELECTION_DELAY_S = 3.0
 FAULTS_END_S = 20.0
 CALM_S = 6.0  # after the faults; covers the longest wait for an order holder
 
@@ -91,3 +99,68 @@
                 if ended - CALM_S + 3.0 < at < ended:
                     in_force = [came for came, found in vm.versions if found >= version]
                     assert in_force[0] - at < CONFIG_BOUND_S, (seed, version)
+
+
+class OrderingVm:
+    """A VM that stands for election and sends an order whenever it may."""
+
+    def __init__(self, store: SimulatedStore, name: str) -> None:
+        self.name = name
+        record = PeerRecord(address="127.0.0.1", port=1, availability_zone="z")
+        self.vm = SimulatedVm(store, listener=self)
+        clock: Any = store.clock
+        self.membership = MembershipTask(
+            reactor=clock,
+            store=cast("Any", self.vm.client),
+            era=self.vm.client.era,
+            link=PeerLink(vm=name, receive=lambda message: None),
+            vm=name,
+            record=record,
+            lease_s=LEASE_S,
+            reelection_delay_s=REELECTION_DELAY_S,
+        )
+        start_coroutine(self.membership.run())
+
+    def stored_item_changed(self, item: Any) -> None:
+        """Pass a change on as the node does."""
+        if item.key.startswith(SYSTEM_PREFIX):
+            self.membership.apply_stored_item(item)
+
+    def store_answered(self) -> None:
+        """Record a read."""
+        self.membership.record_store_read()
+
+
+@then(
+    "in {count:d} random runs of 3 VMs at most one sends orders at a time, fencing tokens only "
+    "rise, no replaced VM orders again within the re-election delay, and one orders in the end"
+)
+def check_orders(context: Any, count: int) -> None:
+    for seed in range(count):
+        play = context.make_play(seed=1000 + seed, vms=3)
+        vms = [OrderingVm(play.store, f"vm{number}") for number in range(play.vms)]
+        orders: list[tuple[float, str, int]] = []
+        play.run(
+            FAULTS_END_S + 2 * CALM_S,
+            [vm.vm.client for vm in vms],
+            lambda play=play, vms=vms, orders=orders: send_orders(play, vms, orders),
+        )
+        check_order_history(seed, orders)
+        assert orders[-1][0] > play.clock.seconds() - 1.0, seed
+
+
+def send_orders(play: Play, vms: list[OrderingVm], orders: list[tuple[float, str, int]]) -> None:
+    now = play.clock.seconds()
+    for vm in vms:
+        if vm.membership.tenure.is_valid(now):
+            orders.append((now, vm.name, vm.membership.tenure.token))
+
+
+def check_order_history(seed: int, orders: list[tuple[float, str, int]]) -> None:
+    last_of: dict[str, float] = {}
+    holder, token = "", 0
+    for at, vm, found in orders:
+        assert found > token or (found == token and vm == holder), (seed, at, vm)
+        if vm != holder and vm in last_of:
+            assert at - last_of[vm] >= REELECTION_DELAY_S, (seed, at, vm)
+        last_of[vm], holder, token = at, vm, found
