Don't take entries of a copy for what upstreams say now

Cause: the copy from which the store comes back may lack upstreams that run and have upstreams that left, or drain, as ready. Nodes took both at once: running upstreams were out of use, and leaving ones got new requests.

Change: routing/restored_entries.py defers both for the time in which the upstream or the platform writes the entry again; a draining upstream stays so.

--- a/src/cactusshunt/routing/upstream_directory.py
+++ b/src/cactusshunt/routing/upstream_directory.py
@@ -6,10 +6,13 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from cactusshunt.node_log import log_event
 from cactusshunt.platform.boot import split_address
 from cactusshunt.platform.documents import UPSTREAMS_PREFIX
 from cactusshunt.platform.documents import decode_upstream_entry
+from cactusshunt.routing.restored_entries import RestoredEntries
 from cactusshunt.routing.upstream import HeldItems
 from cactusshunt.routing.upstream import Upstream
 
@@ -43,6 +46,7 @@
         self._clock = clock
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: defaultdict[str, dict[str, Upstream]] = defaultdict(dict)
+        self._restored = RestoredEntries()
         self._last_status_by_vm: dict[str, int] = {}
         # the order of the last update on planned loads, and when each item is expected, by service
         self._planned_loads: dict[str, tuple[tuple[int, int], dict[str, float]]] = {}
@@ -52,10 +56,12 @@
 
     def all(self) -> list[Upstream]:
         """Return all upstreams whose entry was not removed."""
+        self._apply_deferred_changes()
         return [found for found in self._upstreams.values() if found.removed_at is None]
 
     def of_service(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service whose entry was not removed."""
+        self._apply_deferred_changes()
         return [found for found in self._by_service[service].values() if found.removed_at is None]
 
     def find(self, name: str) -> Upstream | None:
@@ -68,6 +74,7 @@
         Upstreams whose entry was removed recently are returned only if there are no others: after
         an outage of the store, the entries of running upstreams expire and reappear.
         """
+        self._apply_deferred_changes()
         self._expire()
         ready = [found for found in self._by_service[service].values() if found.ready]
         registered = [found for found in ready if found.removed_at is None]
@@ -91,10 +98,13 @@
         entry = decode_upstream_entry(item.value) if item.value is not None else None
         if item.value is not None and entry is None:
             log_event("entry_unreadable", upstream=name)
+        if self._restored.defer(name, item, entry, self._clock()):
+            log_event("entry_deferred", upstream=name, missing=entry is None)
+            return
         if entry is None:
             self._remove(name)
         else:
-            self._apply_entry(name, entry)
+            self._apply_entry(name, self._keep_draining(name, entry) if item.from_copy else entry)
         self.on_change()
 
     def apply_engine_items(self, engine_items: EngineItems, token: int) -> None:
@@ -145,8 +155,20 @@
         """
         if upstream.removed_at is None:
             upstream.removed_at = self._clock() - self._drain_s
+            self._restored.record_removal(upstream.name, upstream.entry.born, self._clock())
             log_event("upstream_leaving", upstream=upstream.name, source="answer")
 
+    def _apply_deferred_changes(self) -> None:
+        for item in self._restored.take_due(self._clock()):
+            self.apply_stored_entry(replace(item, from_copy=False))
+
+    def _keep_draining(self, name: str, entry: UpstreamEntry) -> UpstreamEntry:
+        """Return an entry of a copy with the state of an upstream that is known to be leaving."""
+        found = self._upstreams.get(name)
+        if found is None or found.ready or found.entry.born != entry.born:
+            return entry
+        return msgspec.structs.replace(entry, state=found.entry.state)
+
     def _apply_entry(self, name: str, entry: UpstreamEntry) -> None:
         found = self._upstreams.get(name)
         if found is None:
@@ -195,6 +217,7 @@
         found = self._upstreams.get(name)
         if found is not None and found.removed_at is None:
             found.removed_at = self._clock()
+            self._restored.record_removal(name, found.entry.born, found.removed_at)
             log_event("upstream_gone", upstream=name)
 
     def _expire(self) -> None:
