Read the configuration when a peer has had a newer one for too long

Change: VMs report the version in force; one that hears of a newer version for longer than changes are gathered reads the configuration over another connection, and all keys next. Log, dump and metrics say how far a VM is behind.

Result: a VM whose view gets no answer any more has a new configuration within 2 s (simulated; without the read it never has).

--- a/src/cactusshunt/configuration/platform_view.py
+++ b/src/cactusshunt/configuration/platform_view.py
@@ -120,6 +120,10 @@
         """Return the longest time for which changes are gathered before the next call."""
         return choose_gather_fraction(self._count_vms()) * self._config_bound_s
 
+    def read_all_next(self) -> None:
+        """Read all keys with the next call, because changes may have been missed."""
+        self._read_all_due = True
+
     async def _read_all(self) -> None:
         now = self._reactor.seconds()
         answer = await self._store.read_prefix("", deadline=now + CALL_TIMEOUT_S * 3)
--- a/src/cactusshunt/membership/announcer.py
+++ b/src/cactusshunt/membership/announcer.py
@@ -22,6 +22,7 @@
 
 STATUS_INTERVAL_S = 0.2  # a usual prompt's prefill takes about half of it
 DEMAND_INTERVAL_S = 0.4  # short, since demand moves between models within seconds
+NEW_VERSION_REPORTS = 3  # that mention a new configuration, since datagrams may be lost
 RECENT_ITEM_S = 2.5 * DEMAND_INTERVAL_S  # a request is in two reports, since one may be lost
 RATE_ITEM_S = 6.0  # after this time without a request, 2% of a rate are left
 OTHER_ITEMS_PER_REPORT = 8  # listed by turns, for a new order holder and after lost reports
@@ -61,8 +62,15 @@
         self._reported_holder: str | None = None
         self._other_items_reported = 0
         self._reported_work = False
+        self._configuration_version = 0
+        self._version_reports_due = 0
         self._batch_scheduled = False
 
+    def announce_configuration(self, version: int) -> None:
+        """Report the configuration version that is in force from now on."""
+        self._configuration_version = version
+        self._version_reports_due = NEW_VERSION_REPORTS
+
     def send_status(self) -> None:
         """Report this VM's work to all peers; in a large fleet, only to those in its zone.
 
@@ -82,14 +90,17 @@
         ]
         silent_s = self._membership.store_silent_s(self._reactor.seconds())
         store_is_silent = silent_s >= STORE_SILENCE_S
-        if not work and not self._reported_work and not store_is_silent:
+        is_due = self._reported_work or store_is_silent or self._version_reports_due
+        if not work and not is_due:
             return
+        self._version_reports_due = max(0, self._version_reports_due - 1)
         self._reported_work = bool(work)
         status = Status(
             vm=self._vm,
             status_number=self._status_number,
             store_silent_ms=int(silent_s * 1000),
             work=work,
+            configuration_version=self._configuration_version,
         )
         to_all = store_is_silent or not self._link.is_large_fleet
         self._link.send(
--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -38,13 +38,15 @@
     """One VM's work at upstreams, which it reports to other VMs several times a second.
 
     ``status_number`` increases with each report, so that a receiver recognises a duplicate;
-    ``store_silent_ms`` is the time since the platform's store last answered the VM.
+    ``store_silent_ms`` is the time since the platform's store last answered the VM;
+    ``configuration_version`` is the version in force, 0 from VMs that don't report it.
     """
 
     vm: str
     status_number: int
     store_silent_ms: int
     work: list[EngineWork]
+    configuration_version: int = 0
 
 
 class DemandReport(msgspec.Struct, frozen=True, kw_only=True, tag="d", array_like=True):
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -14,6 +14,7 @@
 
 from cactusshunt.configuration.platform_view import PlatformView
 from cactusshunt.configuration.store_era import StoreEra
+from cactusshunt.configuration.version_check import VersionCheck
 from cactusshunt.exceptions import SettingsError
 from cactusshunt.http1.caller_connection import CallerConnection
 from cactusshunt.http1.connection_pool import ConnectionPool
@@ -185,6 +186,9 @@
             config_bound_s=bounds.config_ms / 1000.0,
             count_vms=lambda: 1 + len(self._link.peers),
         )
+        self._version_check = VersionCheck(
+            reactor=reactor, store=self._lease_store, view=self._view, listener=self
+        )
         self._state = NodeState(
             vm=settings.node,
             clock=reactor.seconds,
@@ -198,6 +202,7 @@
             limits=self._limits,
             era=self._era,
             view=self._view,
+            version_check=self._version_check,
         )
         self._telemetry = NodeTelemetry(read_gauges=self._state.read_gauges, statsd=settings.statsd)
 
@@ -294,6 +299,8 @@
             return
         self._version = configuration.version
         self._state.record_configuration(configuration.version)
+        self._version_check.record_own_version(configuration.version)
+        self._announcer.announce_configuration(configuration.version)
         self._callers.set_configuration(configuration)
         self._orders.set_configuration(configuration)
         log_event("configuration", version=configuration.version, routes=len(configuration.routes))
@@ -305,6 +312,7 @@
 
     def _handle_status(self, status: Status) -> None:
         self._directory.apply_status(status)
+        self._version_check.record_peer_version(status.configuration_version)
         self._membership.record_store_report(status.vm, status.store_silent_ms / 1000.0)
 
     def _handle_placement(self, update: PlacementUpdate) -> None:
--- a/src/cactusshunt/node_state.py
+++ b/src/cactusshunt/node_state.py
@@ -17,6 +17,7 @@
 
     from cactusshunt.configuration.platform_view import PlatformView
     from cactusshunt.configuration.store_era import StoreEra
+    from cactusshunt.configuration.version_check import VersionCheck
     from cactusshunt.limits.request_limits import RequestLimits
     from cactusshunt.membership.membership_task import MembershipTask
     from cactusshunt.membership.peer_link import PeerLink
@@ -47,6 +48,7 @@
         limits: RequestLimits,
         era: StoreEra,
         view: PlatformView,
+        version_check: VersionCheck,
     ) -> None:
         self._vm = vm
         self._clock = clock
@@ -60,6 +62,7 @@
         self._limits = limits
         self._era = era
         self._view = view
+        self._version_check = version_check
         self._version = 0
         self._version_at = clock()
         self.stopping = False
@@ -76,6 +79,7 @@
             "vm": self._vm,
             "pid": os.getpid(),
             "configuration_version": self._version,
+            "newest_configuration_version": self._version_check.newest,
             "store_era": self._era.number,
             "store_era_known_s": round(now - self._era.known_since, 3),
             "store_revision": self._view.revision,
@@ -144,6 +148,14 @@
                 "Seconds since the configuration came into force.",
                 now - self._version_at,
             ),
+            "configuration_versions_behind": (
+                "By how much the newest version that any VM reported exceeds this VM's.",
+                self._version_check.versions_behind,
+            ),
+            "configuration_checks": (
+                "Extra reads of the configuration because a peer had a newer one.",
+                self._version_check.reads,
+            ),
             "store_era": (
                 "Times that the store came back from a copy, as it says.",
                 self._era.number,
--- a/tests/configuration/store_copies.feature
+++ b/tests/configuration/store_copies.feature
@@ -34,3 +34,8 @@
   Scenario: Order holders are elected by a store that gives out revisions and leases again
     Given a store that goes away and comes back from copies at random
     Then in 60 random runs of 3 VMs at most one sends orders at a time, fencing tokens only rise, no replaced VM orders again within the re-election delay, and one orders in the end
+
+  Scenario: A view whose calls get no answer learns a new configuration from its peers' versions
+    Given a store that goes away and comes back from copies at random
+    When a VM's view gets no answer any more, and a peer has a newer configuration
+    Then the VM has it within 2 seconds, and reads nothing more once it is not behind
--- a/tests/steps/simulated_store_steps.py
+++ b/tests/steps/simulated_store_steps.py
@@ -11,11 +11,14 @@
 
 from behave import given
 from behave import then
+from behave import when
 from simulated_store import CONFIG_BOUND_S
+from simulated_store import SimulatedClient
 from simulated_store import SimulatedStore
 from simulated_store import SimulatedVm
 from twisted.internet.task import Clock
 
+from cactusshunt.configuration.version_check import VersionCheck
 from cactusshunt.membership.membership_task import MembershipTask
 from cactusshunt.membership.peer_link import PeerLink
 from cactusshunt.membership.peer_link import PeerRecord
@@ -164,3 +167,29 @@
         if vm != holder and vm in last_of:
             assert at - last_of[vm] >= REELECTION_DELAY_S, (seed, at, vm)
         last_of[vm], holder, token = at, vm, found
+
+
+@when("a VM's view gets no answer any more, and a peer has a newer configuration")
+def cut_view(context: Any) -> None:
+    play = context.make_play(seed=0, vms=1)
+    vm = SimulatedVm(play.store)
+    clock: Any = play.clock
+    client = SimulatedClient(play.store)
+    check = VersionCheck(reactor=clock, store=cast("Any", client), view=vm.view, listener=vm)
+    vm.on_version = check.record_own_version
+    play.clock.pump([STEP_S] * 100)
+    vm.client.cut = True
+    play.clock.pump([STEP_S] * 100)
+    play.store.write("op/config", b"3")
+    check.record_peer_version(3)
+    context.play, context.vm, context.check, context.client = play, vm, check, client
+
+
+@then("the VM has it within 2 seconds, and reads nothing more once it is not behind")
+def check_learned(context: Any) -> None:
+    context.play.clock.pump([STEP_S] * int(CONFIG_BOUND_S / STEP_S))
+    assert context.vm.version == 3
+    reads = context.check.reads
+    context.check.record_peer_version(3)
+    context.play.clock.pump([STEP_S] * 1000)
+    assert context.check.reads == reads == 1
