Let the store come back from copies in the soak

The store comes back from copies 0.3 to 5 s old, some twice in a row, between all other faults; upstreams write their entries each second, the operator its newest configuration after each return. New check: a configuration is in force 2 s after it was written, 5 s without faults before.

--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -112,6 +112,11 @@
             log_is_read=log_is_read,
         )
 
+    @property
+    def newest_version(self) -> int:
+        """Return the newest configuration version that was written."""
+        return self._version
+
     def configure(
         self, routes: list[dict[str, Any]] | None = None, *, version: int | None = None
     ) -> int:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,8 +21,10 @@
 from soak.guarantees import ExecutionRecord
 from soak.guarantees import LimitedArrival
 from soak.guarantees import Observations
+from soak.guarantees import ObservedVersion
 from soak.guarantees import find_violations
 from soak.schedule import Fault
+from soak.schedule import draw_copies
 from soak.schedule import draw_faults
 from soak.schedule import draw_limits
 
@@ -44,7 +46,9 @@
         self._planned_faults = faults
         self._callers = callers
         self._faults: list[Fault] = []
-        self._versions: list[tuple[str, int, int]] = []
+        self._versions: list[ObservedVersion] = []
+        self._configured: list[tuple[float, int]] = []
+        self._copying = threading.Lock()
         self._failed_processes: list[str] = []
         self._finished = False
 
@@ -75,6 +79,7 @@
             limited=self._read_limited(),
             faults=self._faults,
             versions=self._versions,
+            configured=self._configured,
             overcommitted=[
                 n for n in self._fleet.upstream_ports if self._fleet.state_of(n)["overcommitted"]
             ],
@@ -99,8 +104,10 @@
             self._fleet.set_store_down(True)
             time.sleep(fault.duration_s)
             self._fleet.set_store_down(False)
+        elif kind == "store_copy":
+            self._restore_store(fault)
         elif kind == "configuration":
-            self._fleet.configure()
+            self._configure()
         elif kind == "drain":
             self._drain(fault)
         elif kind == "limit":
@@ -108,6 +115,17 @@
         else:
             self._restart_process(kind, target)
 
+    def _configure(self) -> None:
+        self._configured.append((time.time(), self._fleet.configure()))
+
+    def _restore_store(self, fault: Fault) -> None:
+        """Let the store come back from a copy, and write the newest configuration again."""
+        with self._copying:
+            self._fleet.save_store()
+            time.sleep(fault.duration_s - fault.value)
+            self._fleet.restore_store(fault.value)
+            self._fleet.configure(version=self._fleet.newest_version)
+
     def _drain(self, fault: Fault) -> None:
         try:
             self._fleet.inject_fault(fault.target, "drain", 0)
@@ -141,7 +159,14 @@
             for node in self._fleet.caller_ports:
                 try:
                     state = self._fleet.dump(node)
-                    self._versions.append((node, state["pid"], state["configuration_version"]))
+                    self._versions.append(
+                        ObservedVersion(
+                            node=node,
+                            pid=state["pid"],
+                            at=time.time(),
+                            version=state["configuration_version"],
+                        )
+                    )
                 except (OSError, ValueError, KeyError):
                     continue
             time.sleep(0.2)
@@ -181,6 +206,7 @@
     """Run the programs under faults and check the observations against the guarantees."""
     fleet = SoakFleet(first_port=first_port, nodes=nodes)
     faults = draw_faults(seed, minutes * 60.0, list(fleet.caller_ports), list(fleet.upstream_ports))
+    faults += draw_copies(seed, minutes * 60.0)
     faults += draw_limits(seed, minutes * 60.0, list(fleet.upstream_ports))
     threads = [
         Caller(fleet=fleet, rng=random.Random(f"{seed}/{number}")) for number in range(callers)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -17,6 +17,7 @@
 NOT_RUN = (408, 421, 429, 503)
 DRAIN_NOTICE_S = 2.5  # 2 s, and 0.5 s in which the upstream's record reaches the nodes
 SETTLE_S = 3.0  # after a fault, updates from the store may still be late
+CONFIGURATION_S = 2.0  # configMs in the nodes' settings
 LIMIT_WINDOW_S = 4.0
 FIRST_LIMIT_WINDOW_S = 3.0  # after an upstream first named a limit
 TOLD_S = 0.5  # a node knows a limit this long after its first request that was answered with it
@@ -42,20 +43,31 @@
     limit: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class ObservedVersion:
+    """The configuration version that a node's process had in force at one moment."""
+
+    node: str
+    pid: int
+    at: float
+    version: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class Observations:
     """What a soak test observed; all times, also those of faults, are in Unix seconds.
 
-    ``overcommitted`` names upstreams that were ordered to load more than fits. ``versions`` holds
-    node, process ID and configuration version in the order of observation.
+    ``overcommitted`` names upstreams that were ordered to load more than fits. ``configured`` holds
+    when the operator had written which configuration version.
     """
 
     results: Sequence[RequestResult]
     runs: Sequence[ExecutionRecord]
     faults: Sequence[Fault]
-    versions: Sequence[tuple[str, int, int]]
+    versions: Sequence[ObservedVersion]
     overcommitted: Sequence[str]
     failed_processes: Sequence[str]
+    configured: Sequence[tuple[float, int]] = ()
     limited: Sequence[LimitedArrival] = ()
 
 
@@ -133,11 +145,21 @@
 def _check_versions(observations: Observations) -> list[str]:
     violations = []
     newest: dict[tuple[str, int], int] = {}
-    for node, pid, version in observations.versions:
-        before = newest.get((node, pid), 0)
-        if version < before:
-            violations.append(f"{node} went back from configuration {before} to {version}")
-        newest[(node, pid)] = max(before, version)
+    for found in observations.versions:
+        before = newest.get((found.node, found.pid), 0)
+        if found.version < before:
+            violations.append(
+                f"{found.node} went back from configuration {before} to {found.version}"
+            )
+        newest[(found.node, found.pid)] = max(before, found.version)
+        due = [
+            version
+            for at, version in observations.configured
+            if at + CONFIGURATION_S < found.at and version > found.version
+        ]
+        calm_since = found.at - CONFIGURATION_S - SETTLE_S
+        if due and not _has_other_fault(observations, calm_since, found.at):
+            violations.append(f"{found.node} had {found.version} in force instead of {max(due)}")
     return violations
 
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -26,6 +26,9 @@
 )
 MAX_GAP_S = 2.0
 MAX_DURATION_S = 4.0
+COPY_GAP_S = 12.0
+MAX_COPY_AGE_S = 5.0
+AWAY_S = (0.05, 0.3, 1.5)
 LIMITS_PER_S = (1.0, 3.0, 8.0)  # callers send tens of requests a second to each upstream
 LIMIT_GAP_S = 4.0
 MIN_LIMIT_DURATION_S, MAX_LIMIT_DURATION_S = 5.0, 15.0
@@ -36,7 +39,8 @@
     """A fault, or planned work such as a drain or a new configuration.
 
     ``at`` is in seconds from the run's start, and in Unix seconds once the run has started;
-    ``value`` is the limit of an upstream in requests a second.
+    ``value`` is the limit of an upstream in requests a second, or how long the store is away before
+    it comes back from a copy that it made at ``at``.
     """
 
     at: float
@@ -92,6 +96,27 @@
     return limits
 
 
+def draw_copies(seed: int, seconds: float) -> list[Fault]:
+    """Return the copies from which the store comes back in a run, some twice in a row."""
+    rng = random.Random(f"{seed}/copies")
+    copies = []
+    at = rng.uniform(0.0, COPY_GAP_S)
+    while at < seconds:
+        age_s = rng.uniform(0.3, MAX_COPY_AGE_S)
+        away_s = rng.choice(AWAY_S)
+        copies.append(
+            Fault(
+                at=at,
+                kind="store_copy",
+                target="store",
+                duration_s=age_s + away_s,
+                value=away_s,
+            )
+        )
+        at += age_s + away_s + rng.choice((0.1, rng.uniform(1.0, COPY_GAP_S)))
+    return copies
+
+
 def _draw_target(rng: random.Random, kind: str, nodes: list[str], upstreams: list[str]) -> str:
     if kind.startswith("node"):
         return rng.choice(nodes)
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -41,6 +41,7 @@
 if TYPE_CHECKING:
     from twisted.web.server import Request
 
+HEARTBEAT_S = 1.0
 LOAD_S = 0.2
 EVENT_INTERVAL_S = 0.02
 EVENTS_PER_STREAM = 8
@@ -71,23 +72,29 @@
         self._limit: str | None = None
         self._limit_every = 1
         self._arrivals: list[tuple[str, float, bool]] = []
+        self._state = "ready"
         self.overcommitted = False
-        reactor.callWhenRunning(self.register)
+        reactor.callWhenRunning(self._beat)
 
-    def register(self, state: str = "ready") -> None:
+    def _beat(self) -> None:
+        self.register()
+        reactor.callLater(HEARTBEAT_S, self._beat)
+
+    def register(self) -> None:
         """Write the engine's record into the store."""
         entry = {
             "service": self._service,
             "address": f"127.0.0.1:{self._public_port}",
             "zone": "east",
             "slots": 8,
-            "state": state,
+            "state": self._state,
             "born": self._born,
             "models": self._describe_models(),
             "sequence": 1,
         }
         items = {"items": {f"servers/{self._name}": json.dumps(entry)}}
-        deferToThread(post, f"http://127.0.0.1:{self._store}/test/put", items)
+        written = deferToThread(post, f"http://127.0.0.1:{self._store}/test/put", items)
+        written.addErrback(lambda _: None)  # the next heartbeat writes it again
 
     def handle(self, request: Request) -> Any:
         """Answer a test call, a report call, an order or a request."""
@@ -97,7 +104,8 @@
             self._faults = [body["kind"]] * int(body["count"])
             if body["kind"] == "drain":
                 self._faults = []
-                self.register("draining")
+                self._state = "draining"
+                self.register()
             return {}
         if path == "/test/limit":
             body = read_json(request)
--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -94,7 +94,9 @@
             reactor.callLater(float(body["away_s"]), self._restore)
             return {}
         for key, value in body["items"].items():
-            self._write(key, base64.b64encode(value.encode()).decode(), 0)
+            encoded = base64.b64encode(value.encode()).decode()
+            if self._items.get(key, {}).get("value") != encoded:  # heartbeats raise no event
+                self._write(key, encoded, 0)
         self._answer_watches()
         return {"at": self._revision}
 
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -19,6 +19,7 @@
       | a draining engine got a request after 3 s     |
       | a node's stop broke a request's connection    |
       | a node went back to an older configuration    |
+      | a new configuration was not in force after 3 s |
       | an engine's memory was overcommitted          |
       | a limited service got 12 requests in 4 s      |
       | a node ended with an error                    |
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -18,6 +18,7 @@
 from soak.guarantees import ExecutionRecord
 from soak.guarantees import LimitedArrival
 from soak.guarantees import Observations
+from soak.guarantees import ObservedVersion
 from soak.guarantees import find_violations
 from soak.schedule import Fault
 from soak.schedule import draw_faults
@@ -52,6 +53,10 @@
     return replace(found, **fields)
 
 
+def observed(number: int, version: int, pid: int = 7) -> ObservedVersion:
+    return ObservedVersion(node="n1", pid=pid, at=START + number, version=version)
+
+
 @given("the observations of a minute without faults")
 def step_calm_minute(context: Any) -> None:
     results = [result(number) for number in range(60)]
@@ -62,7 +67,7 @@
             for f in results
         ],
         faults=[],
-        versions=[("n1", 7, 3), ("n1", 7, 6), ("n1", 8, 6)],
+        versions=[observed(0, 3), observed(1, 6), observed(2, 6, pid=8)],
         overcommitted=[],
         failed_processes=[],
     )
@@ -90,7 +95,13 @@
         "a request that was answered 503 ran": {"results": [result(1, status=503)]},
         "a draining engine got a request after 3 s": {"faults": [drain], "runs": [late]},
         "a node's stop broke a request's connection": {"faults": [stop], "results": [cut]},
-        "a node went back to an older configuration": {"versions": [("n1", 7, 6), ("n1", 7, 3)]},
+        "a node went back to an older configuration": {
+            "versions": [observed(0, 6), observed(1, 3)]
+        },
+        "a new configuration was not in force after 3 s": {
+            "configured": [(START, 3), (START + 10.0, 6)],
+            "versions": [observed(11, 3), observed(13, 3)],
+        },
         "an engine's memory was overcommitted": {"overcommitted": ["e1"]},
         "a limited service got 12 requests in 4 s": {"limited": limited},
         "a node ended with an error": {"failed_processes": ["n1 (1)"]},
--- a/tests/steps/store_copy_steps.py
+++ b/tests/steps/store_copy_steps.py
@@ -24,7 +24,7 @@
 
 def write_other_keys(deployment: PlatformDeployment, count: int) -> None:
     for number in range(0, count, 10):
-        items = {f"servers/x{number + n}": "{}" for n in range(10)}
+        items = {f"servers/x{number + n}": str(time.time_ns()) for n in range(10)}
         call(deployment.store, "POST", "/test/put", {"items": items})
 
 
