--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -18,6 +18,8 @@
 if TYPE_CHECKING:
     import signal
 
+    from collections.abc import Mapping
+
 ROOT = Path(__file__).resolve().parent.parent
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
@@ -41,12 +43,19 @@
 class PlatformDeployment:
     """A store, engines, a plain service and ``nodes`` nodes, on ports from ``first_port`` on."""
 
-    def __init__(self, *, first_port: int, nodes: int = 2) -> None:
+    def __init__(
+        self,
+        *,
+        first_port: int,
+        nodes: int = 2,
+        initial_models: Mapping[str, str] = INITIAL_MODELS,
+    ) -> None:
         self._first_port = first_port
         self._folder = tempfile.TemporaryDirectory(prefix="cactusshunt-")
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._started: list[subprocess.Popen[bytes]] = []
         self._version = 0
+        self._initial_models = initial_models
         self.store = first_port
         self.upstream_ports = {"e1": first_port + 1, "e2": first_port + 2, "s1": first_port + 3}
         self.caller_ports = {f"n{n}": first_port + 10 * n for n in range(1, nodes + 1)}
@@ -74,7 +83,11 @@
         """Start an engine with its initial models, or a plain service."""
         service = "access" if name.startswith("s") else "engines"
         ports = [str(self.upstream_ports[name]), str(self.store)]
-        extra_arguments = [service, INITIAL_MODELS.get(name, ""), str(self.upstream_port_of(name))]
+        extra_arguments = [
+            service,
+            self._initial_models.get(name, ""),
+            str(self.upstream_port_of(name)),
+        ]
         self._spawn(name, "-m", "stand_ins.platform_engine", name, *ports, *extra_arguments)
 
     def start_node(
@@ -166,6 +179,11 @@
         """Set the fault of an upstream's next ``count`` requests, or make it drain."""
         call(self.upstream_ports[engine], "POST", "/test/fault", {"kind": kind, "count": count})
 
+    def set_deadly_part(self, part: str | None) -> None:
+        """Name a part of prompts under which engines die; ``None`` ends it."""
+        for engine in [name for name in self.upstream_ports if name.startswith("e")]:
+            call(self.upstream_ports[engine], "POST", "/test/deadly", {"part": part})
+
     def name_limit(self, engine: str, value: str | None, every: int = 1) -> None:
         """Make an upstream name a request limit in every ``every``-th answer; ``None`` ends it."""
         call(self.upstream_ports[engine], "POST", "/test/limit", {"value": value, "every": every})
--- a/stand_ins/http.py
+++ b/stand_ins/http.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.internet.interfaces import IListeningPort
     from twisted.internet.interfaces import ITCPTransport
 
 
@@ -71,10 +72,15 @@
     return request.path.decode() if request.path else ""
 
 
+def listen(handle: Callable[[Request], Any], port: int) -> IListeningPort:
+    """Listen for calls to a handler on a loopback port."""
+    site = Site(HandlerResource(handle=handle), timeout=None)
+    opened: IListeningPort = reactor.listenTCP(port, site, interface="127.0.0.1", backlog=512)
+    print(f"listening on {port}", file=sys.stderr, flush=True)
+    return opened
+
+
 def serve(handle: Callable[[Request], Any], port: int) -> None:
     """Serve a handler on a loopback port until interrupted."""
-    reactor.listenTCP(
-        port, Site(HandlerResource(handle=handle), timeout=None), interface="127.0.0.1", backlog=512
-    )
-    print(f"listening on {port}", file=sys.stderr, flush=True)
+    listen(handle, port)
     reactor.run()
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -12,6 +12,11 @@
 and then and never ends it, ``slow`` sends its events ten times as slowly. ``drain`` takes effect at
 once: the engine's record in the store changes to draining.
 
+``POST /test/deadly`` names a part of prompts under which the engine dies once it begins to answer:
+all its connections are reset and new ones refused, and it is born again, without models,
+``back_s`` later. ``null`` ends it. ``GET /test/runs`` has ``deadly``, times and IDs of requests
+that arrived with the part, and ``crashes``, their times.
+
 ``POST /test/limit`` sets the text of ``Server-Limit`` in every ``every``-th answer from then on;
 ``null`` ends it. ``GET /test/runs`` lists the IDs of the requests that ran, and under ``arrivals``
 ID, time and whether the answer names a limit of each request that arrived; standard output has a
@@ -25,20 +30,25 @@
 import time
 import urllib.request
 
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
+from twisted.internet.tcp import Server
 from twisted.internet.threads import deferToThread
 from twisted.web.server import NOT_DONE_YET
 
 from stand_ins.http import abort_connection
 from stand_ins.http import encode_answer
+from stand_ins.http import listen
 from stand_ins.http import read_json
 from stand_ins.http import read_path
-from stand_ins.http import serve
 from stand_ins.reactor import reactor
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.interfaces import IListeningPort
     from twisted.web.server import Request
 
 HEARTBEAT_S = 1.0
@@ -73,11 +83,42 @@
         self._limit_every = 1
         self._arrivals: list[tuple[str, float, bool]] = []
         self._state = "ready"
+        self._deadly_part: str | None = None
+        self._back_s = 2.0
+        self._deadly: list[tuple[float, str]] = []
+        self._crashes: list[float] = []
+        self._alive = True
+        self.listen: Callable[[], IListeningPort] | None = None
+        self._port: IListeningPort | None = None
         self.overcommitted = False
         reactor.callWhenRunning(self._beat)
 
-    def _beat(self) -> None:
+    def open_port(self) -> None:
+        """Listen for callers, now and after each death."""
+        if self.listen is not None:
+            self._port = self.listen()
+
+    def _die(self, back_s: float) -> None:
+        if not self._alive or self._port is None:
+            return
+        self._alive = False
+        self._crashes.append(time.time())
+        self._port.stopListening()
+        for reader in reactor.getReaders():
+            if isinstance(reader, Server):
+                reader.abortConnection()
+        reactor.callLater(back_s, self._be_born)
+
+    def _be_born(self) -> None:
+        self._alive = True
+        self._born = int(time.time() * 1000)
+        self._models, self._sequence, self._busy = [], 0, False
+        self.open_port()
         self.register()
+
+    def _beat(self) -> None:
+        if self._alive:
+            self.register()
         reactor.callLater(HEARTBEAT_S, self._beat)
 
     def register(self) -> None:
@@ -107,6 +148,10 @@
                 self._state = "draining"
                 self.register()
             return {}
+        if path == "/test/deadly":
+            body = read_json(request)
+            self._deadly_part, self._back_s = body["part"], float(body.get("back_s", 2.0))
+            return {}
         if path == "/test/limit":
             body = read_json(request)
             self._limit, self._limit_every = body["value"], int(body.get("every", 1))
@@ -116,6 +161,8 @@
                 "runs": self._runs,
                 "arrivals": self._arrivals,
                 "cancelled": self._cancelled,
+                "deadly": self._deadly,
+                "crashes": self._crashes,
                 "overcommitted": self.overcommitted,
             }
         request_id = request.getHeader("X-Request-Id")
@@ -147,13 +194,15 @@
         self._busy = True
         if order["operation"] == "unload":
             self._models.remove(order["model"])
-            reactor.callLater(0.02, self._finish_order, None)
+            reactor.callLater(0.02, self._finish_order, None, self._born)
         else:
             self.overcommitted |= len(self._models) >= MAX_MODELS
-            reactor.callLater(LOAD_S, self._finish_order, order["model"])
+            reactor.callLater(LOAD_S, self._finish_order, order["model"], self._born)
         return encode_answer(request, {}, 202)
 
-    def _finish_order(self, model: str | None) -> None:
+    def _finish_order(self, model: str | None, born: int) -> None:
+        if born != self._born:
+            return
         self._busy = False
         if model is not None:
             self._models.append(model)
@@ -161,6 +210,13 @@
 
     def _run(self, request: Request) -> Any:
         request_id = request.getHeader("X-Request-Id") or ""
+        parts = [
+            part.split(":")[0] for part in (request.getHeader("X-Prompt-Prefix") or "").split(",")
+        ]
+        if self._deadly_part in parts[:-1]:
+            self._deadly.append((time.time(), request_id))
+            print("deadly", request_id, time.time(), flush=True)
+            reactor.callLater(2 * EVENT_INTERVAL_S, self._die, self._back_s)
         self._name_limit(request, request_id)
         model = request.getHeader("X-Model")
         if model is not None and model not in self._models:
@@ -230,4 +286,6 @@
     held = [model for model in arguments[4].split(",") if model] if len(arguments) > 4 else []
     public_port = int(arguments[5]) if len(arguments) > 5 else int(arguments[1])
     engine = PlatformEngineStandIn(arguments[0], public_port, int(arguments[2]), arguments[3], held)
-    serve(engine.handle, int(arguments[1]))
+    engine.listen = partial(listen, engine.handle, int(arguments[1]))
+    engine.open_port()
+    reactor.run()
