--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -167,7 +167,73 @@
     permits: list[UpstreamPermits]
 
 
-Message = Status | DemandReport | PlacementUpdate | LimitReport | PermitRequest | PermitGrant
+class CrashReport(msgspec.Struct, frozen=True, kw_only=True, tag="c", array_like=True):
+    """Parts of the requests that an engine had not answered to one VM when it crashed.
+
+    ``born`` and ``version`` are those of the engine's entry; ``age_ms`` is the time since the
+    crash. ``alive`` takes reports on this run of the engine back: it has answered since. With
+    ``forward_in_zone`` as in ``PlacementUpdate``.
+    """
+
+    vm: str
+    service: str
+    upstream: str
+    born: int
+    version: str
+    age_ms: int
+    parts: list[str]
+    alive: bool = False
+    forward_in_zone: bool = False
+
+
+class PartReport(msgspec.Struct, frozen=True, kw_only=True, tag="a", array_like=True):
+    """What one VM knows or does about parts of prompts to a service.
+
+    ``completed`` gives the milliseconds since the last completed answer on a part; ``claimed`` and
+    ``released`` are parts that the VM sends a single request with, or no longer; ``questioned``
+    are parts that it will convict unless another VM had an answer on them. With
+    ``forward_in_zone`` as in ``PlacementUpdate``.
+    """
+
+    vm: str
+    service: str
+    completed: dict[str, int] = {}
+    claimed: list[str] = []
+    released: list[str] = []
+    questioned: list[str] = []
+    forward_in_zone: bool = False
+
+
+class ConvictedPart(msgspec.Struct, frozen=True, kw_only=True, tag="v", array_like=True):
+    """A part that crashes engines; ``left_ms`` is the time until it may be probed again.
+
+    ``engines`` names those that crashed and ``versions`` their software; ``crash_age_ms`` is the
+    time since the last crash. With ``forward_in_zone`` as in ``PlacementUpdate``.
+    """
+
+    vm: str
+    service: str
+    part: str
+    engines: list[str]
+    versions: list[str]
+    left_ms: int
+    crash_age_ms: int
+    forward_in_zone: bool = False
+
+
+Message = (
+    Status
+    | DemandReport
+    | PlacementUpdate
+    | LimitReport
+    | PermitRequest
+    | PermitGrant
+    | CrashReport
+    | PartReport
+    | ConvictedPart
+)
+# Sent to all VMs, in a large fleet by forwarders.
+Broadcast = PlacementUpdate | LimitReport | CrashReport | PartReport | ConvictedPart
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
--- a/src/cactusshunt/membership/peer_link.py
+++ b/src/cactusshunt/membership/peer_link.py
@@ -12,8 +12,11 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from cactusshunt.membership.broadcast import choose_forwarders
+from cactusshunt.membership.messages import ConvictedPart
+from cactusshunt.membership.messages import CrashReport
 from cactusshunt.membership.messages import DemandReport
 from cactusshunt.membership.messages import LimitReport
+from cactusshunt.membership.messages import PartReport
 from cactusshunt.membership.messages import PermitGrant
 from cactusshunt.membership.messages import PermitRequest
 from cactusshunt.membership.messages import PlacementUpdate
@@ -25,6 +28,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from cactusshunt.membership.messages import Broadcast
     from cactusshunt.membership.messages import Message
 
 LARGE_FLEET_PEERS = 16  # from this many on, saving traffic between zones outweighs a second hop
@@ -36,10 +40,20 @@
     LimitReport: "limits",
     PermitRequest: "permit_requests",
     PermitGrant: "permits",
+    CrashReport: "crashes",
+    PartReport: "parts",
+    ConvictedPart: "convictions",
 }
-# What a VM's messages include beyond status, demand and placement: 1 nothing, 2 request limits.
-MESSAGE_VERSION = 2
+# What a VM's messages include beyond status, demand and placement: 1 nothing, 2 request limits,
+# 3 also crashes of engines.
+MESSAGE_VERSION = 3
 LIMITS_MESSAGE_VERSION = 2
+NEEDED_MESSAGE_VERSION: dict[type[Message], int] = {
+    LimitReport: LIMITS_MESSAGE_VERSION,
+    CrashReport: MESSAGE_VERSION,
+    PartReport: MESSAGE_VERSION,
+    ConvictedPart: MESSAGE_VERSION,
+}
 
 
 class PeerRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -112,15 +126,16 @@
 
     def list_limit_peers(self) -> list[str]:
         """Return the peers that understand messages on request limits."""
+        return self._list_peers_from(LIMITS_MESSAGE_VERSION)
+
+    def _list_peers_from(self, message_version: int) -> list[str]:
         return [
-            vm
-            for vm, peer in self._peers.items()
-            if peer.record.message_version >= LIMITS_MESSAGE_VERSION
+            vm for vm, peer in self._peers.items() if peer.record.message_version >= message_version
         ]
 
-    def broadcast(self, update: PlacementUpdate | LimitReport) -> None:
+    def broadcast(self, update: Broadcast) -> None:
         """Send an update to all peers, in a large fleet via one forwarder in each zone."""
-        peers = self.list_limit_peers() if isinstance(update, LimitReport) else list(self._peers)
+        peers = self._list_peers_from(NEEDED_MESSAGE_VERSION.get(type(update), 1))
         if not self.is_large_fleet:
             self.send(update, peers)
             return
@@ -129,7 +144,7 @@
         forwarders = choose_forwarders(zones, self._broadcasts)
         self.send(msgspec.structs.replace(update, forward_in_zone=True), forwarders)
 
-    def forward_in_zone(self, update: PlacementUpdate | LimitReport, own_zone: str) -> None:
+    def forward_in_zone(self, update: Broadcast, own_zone: str) -> None:
         """Forward an update from another zone to the peers in this zone."""
         same_zone = [
             vm
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -24,8 +24,12 @@
 from cactusshunt.membership.announcer import Announcer
 from cactusshunt.membership.membership_task import LEASE_S
 from cactusshunt.membership.membership_task import MembershipTask
+from cactusshunt.membership.messages import Broadcast
+from cactusshunt.membership.messages import ConvictedPart
+from cactusshunt.membership.messages import CrashReport
 from cactusshunt.membership.messages import DemandReport
 from cactusshunt.membership.messages import LimitReport
+from cactusshunt.membership.messages import PartReport
 from cactusshunt.membership.messages import PermitGrant
 from cactusshunt.membership.messages import PermitRequest
 from cactusshunt.membership.messages import PlacementUpdate
@@ -44,6 +48,8 @@
 from cactusshunt.platform.boot import split_address
 from cactusshunt.platform.engine_calls import EngineCalls
 from cactusshunt.platform.store import PlatformStore
+from cactusshunt.quarantine.convicted_keys import CONVICTED_PREFIX
+from cactusshunt.quarantine.part_quarantine import PartQuarantine
 from cactusshunt.ready_page import ReadyPage
 from cactusshunt.requests.caller_requests import CallerRequests
 from cactusshunt.requests.relay import Relay
@@ -160,6 +166,14 @@
             handle_demand=self._handle_demand,
             plan_now=self._plan_now,
         )
+        self._quarantine = PartQuarantine(
+            reactor=reactor,
+            vm=settings.node,
+            pool=self._pool,
+            directory=self._directory,
+            link=self._link,
+            store=self._lease_store,
+        )
         relay = Relay(
             reactor=reactor,
             pool=self._pool,
@@ -167,7 +181,9 @@
             picker=self._picker,
             allowance=self._allowance,
             limits=self._limits,
+            quarantine=self._quarantine,
         )
+        self._quarantine.on_crash = relay.record_crash
         self._handlers: dict[type[Message], Callable[[Any], None]] = {
             Status: self._handle_status,
             DemandReport: self._handle_demand,
@@ -175,6 +191,9 @@
             LimitReport: self._limits.apply_message,
             PermitRequest: self._limits.apply_message,
             PermitGrant: self._limits.apply_message,
+            CrashReport: self._quarantine.apply_message,
+            PartReport: self._quarantine.apply_message,
+            ConvictedPart: self._quarantine.apply_message,
         }
         self._callers = CallerRequests(
             reactor=reactor, relay=relay, meter=self._meter, grace_s=bounds.grace_s
@@ -203,6 +222,7 @@
             era=self._era,
             view=self._view,
             version_check=self._version_check,
+            quarantine=self._quarantine,
         )
         self._telemetry = NodeTelemetry(read_gauges=self._state.read_gauges, statsd=settings.statsd)
 
@@ -211,7 +231,9 @@
         settings = self._settings
         log_event("start", version=self._version, zone=settings.zone)
         self._listen(settings.listen.front, self._callers)
-        page = ReadyPage(is_ready=self.is_ready, dump=self._state.dump_state)
+        page = ReadyPage(
+            is_ready=self.is_ready, dump=self._state.dump_state, lift=self._quarantine.lift
+        )
         self._listen(settings.listen.ready, page)
         self._serve_metrics(settings.ip)
         self._reactor.listenUDP(settings.port_range[0], self._link, interface=settings.ip)
@@ -245,6 +267,8 @@
             self._apply_configuration(item)
         elif item.key.startswith(documents.UPSTREAMS_PREFIX):
             self._directory.apply_stored_entry(item)
+        elif item.key.startswith(CONVICTED_PREFIX):
+            self._quarantine.apply_stored_item(item)
         elif item.key.startswith(documents.SYSTEM_PREFIX):
             self._membership.apply_stored_item(item)
             self._allowance.set_vm_count(1 + len(self._link.peers))
@@ -306,7 +330,7 @@
         log_event("configuration", version=configuration.version, routes=len(configuration.routes))
 
     def _receive(self, message: Message) -> None:
-        if isinstance(message, PlacementUpdate | LimitReport) and message.forward_in_zone:
+        if isinstance(message, Broadcast) and message.forward_in_zone:
             self._link.forward_in_zone(message, self._settings.zone)
         self._handlers[type(message)](message)
 
@@ -336,6 +360,7 @@
     def _run_housekeeping(self) -> None:
         self._pool.close_expired()
         self._order_pool.close_expired()
+        self._quarantine.tick()
         if self._read_settings_file_state() != self._known_file_state:
             self.reload()
 
--- a/src/cactusshunt/node_state.py
+++ b/src/cactusshunt/node_state.py
@@ -22,6 +22,7 @@
     from cactusshunt.membership.membership_task import MembershipTask
     from cactusshunt.membership.peer_link import PeerLink
     from cactusshunt.placement.order_task import OrderTask
+    from cactusshunt.quarantine.part_quarantine import PartQuarantine
     from cactusshunt.requests.caller_requests import CallerRequests
     from cactusshunt.requests.retry_allowance import RetryAllowance
     from cactusshunt.requests.upstream_picker import UpstreamPicker
@@ -49,6 +50,7 @@
         era: StoreEra,
         view: PlatformView,
         version_check: VersionCheck,
+        quarantine: PartQuarantine,
     ) -> None:
         self._vm = vm
         self._clock = clock
@@ -63,6 +65,7 @@
         self._era = era
         self._view = view
         self._version_check = version_check
+        self._quarantine = quarantine
         self._version = 0
         self._version_at = clock()
         self.stopping = False
@@ -106,6 +109,7 @@
                 }
                 for upstream in self._directory.all()[:MAX_LISTED]
             ],
+            "suspected_parts": self._quarantine.describe(now)[:MAX_LISTED],
             "request_limits": [
                 {
                     "upstream": limited.name,
@@ -173,6 +177,13 @@
         yield GaugeReading(
             name="upstreams", text="Upstreams by state.", label="state", values=dict(states)
         )
+        verdicts = Counter(found["verdict"] for found in self._quarantine.describe(now))
+        yield GaugeReading(
+            name="suspected_parts",
+            text="Parts of prompts that may crash engines, by verdict.",
+            label="verdict",
+            values={name: float(verdicts[name]) for name in ("suspected", "convicted")},
+        )
         yield GaugeReading(
             name="peer_bytes_sent",
             text="Bytes of datagrams sent to other VMs since the start.",
--- a/src/cactusshunt/platform/documents.py
+++ b/src/cactusshunt/platform/documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from cactusshunt.exceptions import SettingsError
@@ -142,7 +144,8 @@
     """State that an upstream publishes in the store.
 
     ``slots`` is how many requests run at once, ``born`` differs after each start of the upstream,
-    ``at_hand`` names cached weights and ``sequence`` counts accepted orders.
+    ``version`` is that of its software, ``at_hand`` names cached weights and ``sequence`` counts
+    accepted orders.
     """
 
     service: str
@@ -151,6 +154,7 @@
     slots: int = 1
     state: str
     born: int = 0
+    version: Any = None
     models: list[LoadedModel] = []
     at_hand: CachedWeights = CachedWeights()
     sequence: int = 0
--- /dev/null
+++ b/src/cactusshunt/quarantine/crash_check.py
@@ -0,0 +1,32 @@
+"""Tells an engine that crashed from a connection that broke."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from twisted.internet.error import ConnectionRefusedError
+
+from cactusshunt.exceptions import UpstreamNotReachedError
+from cactusshunt.tasks.periodic import pause
+
+if TYPE_CHECKING:
+    from twisted.internet.base import ReactorBase
+
+    from cactusshunt.http1.connection_pool import Address
+    from cactusshunt.http1.connection_pool import ConnectionPool
+
+SETTLE_S = 0.02  # in which the idle connections to a crashed engine are reset as well
+
+
+async def has_crashed(reactor: ReactorBase, pool: ConnectionPool, address: Address) -> bool:
+    """Return whether an engine whose connection broke refuses new ones.
+
+    An engine that does not answer at all is cut off or silent, which is not told apart here.
+    """
+    await pause(reactor, SETTLE_S)
+    try:
+        connection = await pool.acquire(address)
+    except UpstreamNotReachedError as error:
+        return isinstance(error.__cause__, ConnectionRefusedError)
+    pool.release(address, connection)
+    return False
--- /dev/null
+++ b/src/cactusshunt/quarantine/part_quarantine.py
@@ -0,0 +1,642 @@
+"""Keeps requests with parts of prompts that crash engines away from the engines.
+
+While no engine crashes, nothing is sent and requests pass at once (see docs/design/quarantine.md).
+"""
+
+from __future__ import annotations
+
+import random
+import time
+
+from collections import OrderedDict
+from collections import defaultdict
+from collections import deque
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from twisted.internet.defer import Deferred
+
+from cactusshunt.decisions.rendezvous import rank_nodes
+from cactusshunt.exceptions import StoreError
+from cactusshunt.http1.upstream_connection import ExchangeEnd
+from cactusshunt.membership.messages import ConvictedPart
+from cactusshunt.membership.messages import CrashReport
+from cactusshunt.membership.messages import PartReport
+from cactusshunt.node_log import log_event
+from cactusshunt.quarantine.convicted_keys import decode_conviction
+from cactusshunt.quarantine.convicted_keys import encode_conviction
+from cactusshunt.quarantine.convicted_keys import make_key
+from cactusshunt.quarantine.crash_check import has_crashed
+from cactusshunt.quarantine.crash_evidence import CONFIRMATION_S
+from cactusshunt.quarantine.crash_evidence import SUSPICION_S
+from cactusshunt.quarantine.crash_evidence import Conviction
+from cactusshunt.quarantine.crash_evidence import Crash
+from cactusshunt.quarantine.crash_evidence import CrashEvidence
+from cactusshunt.quarantine.crash_evidence import Part
+from cactusshunt.quarantine.crash_evidence import Verdict
+from cactusshunt.quarantine.probe_claims import CLAIM_REPEAT_S
+from cactusshunt.quarantine.probe_claims import SETTLE_S
+from cactusshunt.quarantine.probe_claims import ProbeClaims
+from cactusshunt.tasks.periodic import start_coroutine
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from cactusshunt.http1.connection_pool import ConnectionPool
+    from cactusshunt.membership.messages import Broadcast
+    from cactusshunt.membership.peer_link import PeerLink
+    from cactusshunt.platform.store import PlatformStore
+    from cactusshunt.platform.store import StoredItem
+    from cactusshunt.requests.job import Job
+    from cactusshunt.routing.upstream import Upstream
+    from cactusshunt.routing.upstream_directory import UpstreamDirectory
+
+MAX_PARTS_PER_REQUEST = 16  # the first ones, which requests share most
+MAX_NAME_LENGTH = 64
+MAX_PARTS_PER_REPORT = 200  # keeps a datagram below 16 KB
+MAX_LISTED = 8  # names in one log line
+MAX_HOLD_S = 1.0  # a request waits this long until another one with the part is answered
+RETRY_AFTER_S = 0.5  # most answers are complete by then
+REPEAT_S = 0.15  # reports are sent twice, because datagrams may be lost
+MAX_REPLY_DELAY_S = 0.03  # the first VM that knows of an answer tells the others
+KNOWN_COMPLETION_S = 1.0  # a completion that is newer by less is not reported again
+STORE_DELAY_S = 0.2  # in which peers take a conviction back that they know to be wrong
+STORE_RANK_DELAY_S = 0.3  # the preferred VM writes a conviction; others if it did not
+MAX_STORE_DELAY_S = 3.0
+STORE_TIMEOUT_S = 0.5
+REPORT_RETENTION_S = 60.0  # own reports, for VMs that start
+MAX_RUNS = 256  # crashed runs of engines that are remembered
+MAX_CONVICTIONS = 256
+STORE = "store"  # source of a conviction that the view delivered
+
+
+@dataclass(frozen=True, kw_only=True)
+class Block:
+    """Why a request is not sent; ``retry_after_s`` is ``None`` if it is not to be sent again."""
+
+    reason: str
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class ReportedCompletion:
+    """When an answer on a part was completed, and when this VM sent or received the last report."""
+
+    at: float = float("-inf")
+    heard_at: float = float("-inf")
+
+
+NO_REPORT = ReportedCompletion()
+
+
+def list_parts(job: Job) -> tuple[Part, ...]:
+    """Return the parts of a request's prompt that other requests may share: all but the last."""
+    if job.generation is None:
+        return ()
+    names = [name[:MAX_NAME_LENGTH] for name, _ in job.generation.prompt_parts[:-1]]
+    return tuple(Part(service=job.service, name=name) for name in names[:MAX_PARTS_PER_REQUEST])
+
+
+class PartQuarantine:
+    """Admits requests, gathers evidence from their ends, and shares it with the other VMs.
+
+    ``on_crash`` is called with an engine that was found to have crashed.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        vm: str,
+        pool: ConnectionPool,
+        directory: UpstreamDirectory,
+        link: PeerLink,
+        store: PlatformStore,
+    ) -> None:
+        self._reactor = reactor
+        self._vm = vm
+        self._pool = pool
+        self._directory = directory
+        self._link = link
+        self._store = store
+        self._random = random.Random()
+        self._evidence = CrashEvidence()
+        self._claims = ProbeClaims(vm=vm)
+        self._probes: dict[Part, Job] = {}
+        self._outstanding: defaultdict[tuple[str, int], dict[int, tuple[Part, ...]]] = defaultdict(
+            dict
+        )
+        self._checks: dict[tuple[str, int], set[Part]] = {}
+        self._crashed_runs: OrderedDict[tuple[str, int], tuple[Crash, float]] = OrderedDict()
+        self._own_reports: deque[tuple[float, CrashReport]] = deque(maxlen=32)
+        self._reported_completions: OrderedDict[Part, ReportedCompletion] = OrderedDict()
+        self._stored: set[Part] = set()
+        self._waiting: list[Deferred[None]] = []
+        self._known_peers: frozenset[str] = frozenset()
+        self.on_crash: Callable[[Upstream], None] = lambda upstream: None
+
+    async def admit(self, job: Job) -> Block | None:
+        """Return ``None`` once a request may be sent, or why it may not."""
+        if self._evidence.is_empty:
+            return None
+        hold_s = min(MAX_HOLD_S, job.route.target_latency_ms / 1000.0)
+        hold_ends_at = min(job.deadline, self._now() + hold_s)
+        while not job.done and not job.connection.disconnected:
+            now = self._now()
+            verdicts = {part: self._assess(part, now) for part in list_parts(job)}
+            if Verdict.CONVICTED in verdicts.values():
+                self.release(job)
+                return Block(reason="a part of the prompt crashes engines")
+            suspects = [part for part, found in verdicts.items() if found is Verdict.SUSPECTED]
+            if self._claim(job, sorted(suspects), now):
+                return None
+            if now >= hold_ends_at:
+                self.release(job)
+                return Block(
+                    reason="a part of the prompt is being probed", retry_after_s=RETRY_AFTER_S
+                )
+            await self._wait(SETTLE_S)
+        return None
+
+    def may_send(self, job: Job) -> bool:
+        """Return whether a request that was admitted may still be sent."""
+        if self._evidence.is_empty:
+            return True
+        now = self._now()
+        for part in list_parts(job):
+            verdict = self._assess(part, now)
+            is_probe = self._probes.get(part) is job and self._claims.holds(part, now)
+            if verdict is Verdict.CONVICTED or (verdict is Verdict.SUSPECTED and not is_probe):
+                return False
+        return True
+
+    def begin(self, job: Job, upstream: Upstream) -> None:
+        """Record that a request is sent to an upstream."""
+        if job.generation is not None:
+            run = (upstream.name, upstream.entry.born)
+            self._outstanding[run][id(job)] = list_parts(job)
+
+    def end(
+        self, job: Job, upstream: Upstream, *, born: int, answered: bool, end: ExchangeEnd
+    ) -> None:
+        """Record the end of an attempt at the run of an upstream that ``born`` identifies."""
+        if job.generation is None:
+            return
+        run = (upstream.name, born)
+        outstanding = self._outstanding[run]
+        parts = outstanding.pop(id(job), ())
+        if answered:
+            self._record_answer(run, parts, job.last_sent_at or 0.0)
+        elif end in (ExchangeEnd.BROKEN, ExchangeEnd.UNANSWERED):
+            self._check_crash(upstream, run, job.service, [*outstanding.values(), parts])
+        if not outstanding:
+            self._outstanding.pop(run, None)
+
+    def release(self, job: Job) -> None:
+        """End the claims of a request that is done."""
+        released = [part for part, probe in self._probes.items() if probe is job]
+        for part in released:
+            del self._probes[part]
+            self._claims.release(self._vm, part)
+        if released:
+            names = [part.name for part in released]
+            self._broadcast(PartReport(vm=self._vm, service=job.service, released=names))
+            self._wake()
+
+    @singledispatchmethod
+    def apply_message(self, message: CrashReport | PartReport | ConvictedPart) -> None:
+        """Apply another VM's message."""
+        raise TypeError(type(message))
+
+    @apply_message.register
+    def _apply_crash(self, report: CrashReport) -> None:
+        crash = Crash(upstream=report.upstream, born=report.born, version=report.version)
+        if report.alive:
+            self._evidence.void_crash(crash)
+            self._wake()
+            return
+        parts = [Part(service=report.service, name=name) for name in report.parts]
+        self._record_crash(crash, parts, self._now() - report.age_ms / 1000.0)
+        delay_s = self._random.uniform(0.0, MAX_REPLY_DELAY_S)
+        self._reactor.callLater(delay_s, self._report_completions, parts)
+
+    @apply_message.register
+    def _apply_part_report(self, report: PartReport) -> None:
+        now = self._now()
+        for name, age_ms in report.completed.items():
+            part = Part(service=report.service, name=name)
+            self._remember_report(part, now - age_ms / 1000.0)
+            self._record_completion(part, now - age_ms / 1000.0)
+        questioned = [Part(service=report.service, name=name) for name in report.questioned]
+        if questioned:
+            delay_s = self._random.uniform(0.0, MAX_REPLY_DELAY_S)
+            self._reactor.callLater(delay_s, self._answer_question, questioned, now)
+        for name in report.claimed:
+            part = Part(service=report.service, name=name)
+            self._claims.apply(report.vm, part, now)
+        for name in report.released:
+            self._claims.release(report.vm, Part(service=report.service, name=name))
+        self._wake()
+
+    @apply_message.register
+    def _apply_conviction(self, message: ConvictedPart) -> None:
+        now = self._now()
+        part = Part(service=message.service, name=message.part)
+        conviction = Conviction(
+            part=part,
+            engines=tuple(message.engines),
+            versions=frozenset(message.versions),
+            last_crash_at=now - message.crash_age_ms / 1000.0,
+            ends_at=now + message.left_ms / 1000.0,
+        )
+        if self._is_refuted(conviction):
+            self._report_completions([part], again=True)
+            return
+        if self._add_conviction(conviction, source=message.vm):
+            self._write_later(conviction)
+
+    def apply_stored_item(self, item: StoredItem) -> None:
+        """Apply a conviction in the store, or its removal, by which an operator lifts it."""
+        if item.value is None:
+            self._apply_removal(item)
+            return
+        conviction = decode_conviction(item.value, now=self._now(), unix_s=time.time())
+        if conviction is None:
+            log_event("record_unreadable", key=item.key)
+            return
+        if self._is_refuted(conviction):
+            start_coroutine(self._remove(conviction.part))
+            return
+        self._stored.add(conviction.part)
+        self._add_conviction(conviction, source=STORE)
+
+    def lift(self, service: str, name: str) -> bool:
+        """Lift a conviction for all VMs; return whether there was one."""
+        part = Part(service=service, name=name)
+        if not self._lift(part, "an operator lifted it"):
+            return False
+        start_coroutine(self._remove(part))
+        return True
+
+    def tick(self) -> None:
+        """Tell VMs that are new of the evidence, and forget convictions that ended long ago."""
+        now = self._now()
+        peers = frozenset(self._link.peers)
+        new_peers, self._known_peers = peers - self._known_peers, peers
+        if new_peers and not self._evidence.is_empty:
+            self._inform(sorted(new_peers), now)
+        for part, conviction in list(self._evidence.convictions.items()):
+            if now > conviction.ends_at + SUSPICION_S:
+                self._lift(part, "it ended")
+                if self._rank(part) == 0:
+                    start_coroutine(self._remove(part))
+
+    def describe(self, now: float) -> list[dict[str, Any]]:
+        """Return the suspected and convicted parts, for the state dump."""
+        return [
+            {
+                "service": part.service,
+                "part": part.name,
+                "verdict": verdict.name.lower(),
+                "crashed": self._evidence.list_crashed_engines(part),
+                "left_s": (
+                    round(self._evidence.convictions[part].ends_at - now, 1)
+                    if part in self._evidence.convictions
+                    else None
+                ),
+            }
+            for part, verdict in self._evidence.list_suspects(now).items()
+        ]
+
+    def _assess(self, part: Part, now: float) -> Verdict:
+        """Return the verdict; a new software version of all upstreams makes a part probed again."""
+        verdict = self._evidence.assess(part, now)
+        if verdict is not Verdict.CONVICTED:
+            return verdict
+        conviction = self._evidence.convictions.get(part)
+        if conviction is None:
+            return verdict
+        versions = {str(found.entry.version) for found in self._directory.of_service(part.service)}
+        replaced = bool(versions) and not versions & conviction.versions
+        return Verdict.SUSPECTED if replaced else verdict
+
+    def _claim(self, job: Job, parts: list[Part], now: float) -> bool:
+        """Claim parts for a request; return whether all claims hold."""
+        if not all(self._evidence.may_probe(part, now) for part in parts):
+            return False
+        claimed = []
+        for part in parts:
+            probe = self._probes.get(part)
+            if probe is not None and probe is not job:
+                return False
+            if not self._claims.claim(part, now):
+                self._probes.pop(part, None)
+                return False
+            self._probes[part] = job
+            if probe is None:
+                claimed.append(part)
+        if claimed:
+            self._announce_claims(job, claimed)
+        return all(self._claims.holds(part, now) for part in parts)
+
+    def _announce_claims(self, job: Job, parts: list[Part]) -> None:
+        names = [part.name for part in parts]
+        self._broadcast(PartReport(vm=self._vm, service=job.service, claimed=names))
+        self._reactor.callLater(CLAIM_REPEAT_S, self._repeat_claims, job, parts)
+
+    def _repeat_claims(self, job: Job, parts: list[Part]) -> None:
+        kept = [part for part in parts if self._probes.get(part) is job]
+        for part in kept:
+            self._claims.claim(part, self._now())
+        if kept:
+            self._announce_claims(job, kept)
+
+    def _record_answer(self, run: tuple[str, int], parts: tuple[Part, ...], sent_at: float) -> None:
+        now = self._now()
+        crashed = self._crashed_runs.get(run)
+        if crashed is not None and sent_at > crashed[1]:
+            del self._crashed_runs[run]
+            self._evidence.void_crash(crashed[0])
+            self._report_alive(crashed[0], parts)
+        suspected = [part for part in parts if self._record_completion(part, now)]
+        if suspected:
+            self._report_completions(suspected)
+            self._wake()
+
+    def _record_completion(self, part: Part, at: float) -> bool:
+        """Record a completed answer; return whether the part was suspected or convicted."""
+        was_suspected = self._evidence.record_completion(part, at)
+        conviction = self._evidence.convictions.get(part)
+        if conviction is None or not self._is_refuted(conviction):
+            return was_suspected
+        self._lift(part, "an answer was completed")
+        start_coroutine(self._remove(part))
+        return True
+
+    def _is_refuted(self, conviction: Conviction) -> bool:
+        """Return whether an answer on a part was completed after the crashes."""
+        completed_at = self._evidence.completed_at(conviction.part)
+        return completed_at is not None and completed_at > conviction.last_crash_at
+
+    def _report_alive(self, crash: Crash, parts: tuple[Part, ...]) -> None:
+        log_event("engine_alive", upstream=crash.upstream)
+        self._broadcast(
+            CrashReport(
+                vm=self._vm,
+                service=parts[0].service if parts else "",
+                upstream=crash.upstream,
+                born=crash.born,
+                version=crash.version,
+                age_ms=0,
+                parts=[],
+                alive=True,
+            )
+        )
+
+    def _check_crash(
+        self,
+        upstream: Upstream,
+        run: tuple[str, int],
+        service: str,
+        unanswered: Iterable[tuple[Part, ...]],
+    ) -> None:
+        """Find out whether an engine crashed, unless it was leaving anyway."""
+        is_leaving = upstream.removed_at is not None or not upstream.ready
+        if is_leaving or run in self._crashed_runs:
+            return
+        parts = {part for parts in unanswered for part in parts}
+        known = self._checks.get(run)
+        if known is not None:
+            known |= parts
+            return
+        self._checks[run] = parts
+        crash = Crash(upstream=run[0], born=run[1], version=str(upstream.entry.version))
+        start_coroutine(self._confirm_crash(upstream, crash, service))
+
+    async def _confirm_crash(self, upstream: Upstream, crash: Crash, service: str) -> None:
+        has_ended = await has_crashed(self._reactor, self._pool, upstream.address)
+        parts = self._checks.pop(crash.run)
+        if not has_ended:
+            return
+        self.on_crash(upstream)
+        now = self._now()
+        self._record_crash(crash, sorted(parts), now)
+        report = CrashReport(
+            vm=self._vm,
+            service=service,
+            upstream=crash.upstream,
+            born=crash.born,
+            version=crash.version,
+            age_ms=0,
+            parts=[part.name for part in sorted(parts)][:MAX_PARTS_PER_REPORT],
+        )
+        self._own_reports.append((now, report))
+        self._broadcast(report)
+        self._reactor.callLater(REPEAT_S, self._repeat_report, now, report)
+
+    def _repeat_report(self, crashed_at: float, report: CrashReport) -> None:
+        age_ms = int((self._now() - crashed_at) * 1000)
+        self._broadcast(msgspec.structs.replace(report, age_ms=age_ms))
+
+    def _record_crash(self, crash: Crash, parts: list[Part], at: float) -> None:
+        if crash.run not in self._crashed_runs:
+            log_event(
+                "engine_crashed",
+                upstream=crash.upstream,
+                version=crash.version,
+                parts=[part.name for part in parts[:MAX_LISTED]],
+            )
+            self._crashed_runs[crash.run] = (crash, at)
+            if len(self._crashed_runs) > MAX_RUNS:
+                self._crashed_runs.popitem(last=False)
+        self._evidence.record_crash(crash, parts, at)
+        accused = [part for part in parts if self._is_accused(part)]
+        if accused:
+            self._question(accused)
+            self._reactor.callLater(CONFIRMATION_S / 2.0, self._question, accused)
+            self._reactor.callLater(CONFIRMATION_S + MAX_REPLY_DELAY_S, self._convict, accused)
+        self._wake()
+
+    def _is_accused(self, part: Part) -> bool:
+        """Return whether a part is to be convicted if no VM had an answer on it."""
+        later = self._now() + CONFIRMATION_S
+        known = self._evidence.convictions.get(part)
+        if known is not None and later < known.ends_at:
+            return False
+        return self._evidence.assess(part, later) is Verdict.CONVICTED
+
+    def _question(self, parts: list[Part]) -> None:
+        """Ask the other VMs for answers on parts."""
+        accused = [part for part in parts if self._is_accused(part)]
+        by_service: defaultdict[str, list[str]] = defaultdict(list)
+        for part in accused:
+            by_service[part.service].append(part.name)
+        for service, names in by_service.items():
+            self._broadcast(PartReport(vm=self._vm, service=service, questioned=names))
+
+    def _convict(self, parts: list[Part]) -> None:
+        """Convict the parts on which no VM had an answer."""
+        now = self._now()
+        for part in parts:
+            if not self._is_accused(part):
+                continue
+            self._evidence.convictions.pop(part, None)
+            conviction = self._evidence.make_conviction(part, now)
+            if self._add_conviction(conviction, source=self._vm):
+                self._send_conviction(conviction)
+                self._write_later(conviction)
+
+    def _add_conviction(self, conviction: Conviction, source: str) -> bool:
+        """Add a conviction; return whether it is new."""
+        part = conviction.part
+        known = self._evidence.convictions.get(part)
+        if known is not None and known.ends_at >= conviction.ends_at - KNOWN_COMPLETION_S:
+            return False
+        self._evidence.convictions.pop(part, None)
+        if source != STORE:
+            self._stored.discard(part)
+        self._evidence.convict(conviction)
+        while len(self._evidence.convictions) > MAX_CONVICTIONS:
+            del self._evidence.convictions[next(iter(self._evidence.convictions))]
+        log_event(
+            "part_convicted",
+            service=part.service,
+            part=part.name,
+            engines=list(conviction.engines[:MAX_LISTED]),
+            versions=sorted(conviction.versions),
+            left_s=round(conviction.ends_at - self._now(), 1),
+            source=source,
+        )
+        self._wake()
+        return True
+
+    def _send_conviction(self, conviction: Conviction) -> None:
+        self._broadcast(self._describe_conviction(conviction))
+
+    def _describe_conviction(self, conviction: Conviction) -> ConvictedPart:
+        return ConvictedPart(
+            vm=self._vm,
+            service=conviction.part.service,
+            part=conviction.part.name,
+            engines=list(conviction.engines[:MAX_LISTED]),
+            versions=sorted(conviction.versions),
+            left_ms=int(max(0.0, conviction.ends_at - self._now()) * 1000),
+            crash_age_ms=int((self._now() - conviction.last_crash_at) * 1000),
+        )
+
+    def _write_later(self, conviction: Conviction) -> None:
+        """Write a conviction into the store, after VMs that are preferred for it."""
+        rank_delay_s = min(MAX_STORE_DELAY_S, self._rank(conviction.part) * STORE_RANK_DELAY_S)
+        self._reactor.callLater(STORE_DELAY_S + rank_delay_s, self._start_write, conviction)
+
+    def _start_write(self, conviction: Conviction) -> None:
+        is_current = self._evidence.convictions.get(conviction.part) is conviction
+        if is_current and conviction.part not in self._stored:
+            start_coroutine(self._write(conviction))
+
+    async def _write(self, conviction: Conviction) -> None:
+        now = self._now()
+        value = encode_conviction(conviction, vm=self._vm, now=now, unix_s=time.time())
+        try:
+            await self._store.commit(
+                expected={},
+                puts={},
+                unleased_puts={make_key(conviction.part): value},
+                deadline=now + STORE_TIMEOUT_S,
+            )
+        except StoreError as error:
+            log_event("conviction_unwritten", part=conviction.part.name, reason=error.reason)
+
+    async def _remove(self, part: Part) -> None:
+        try:
+            await self._store.commit(
+                expected={},
+                puts={},
+                removals=[make_key(part)],
+                deadline=self._now() + STORE_TIMEOUT_S,
+            )
+        except StoreError as error:
+            log_event("conviction_unwritten", part=part.name, reason=error.reason)
+
+    def _apply_removal(self, item: StoredItem) -> None:
+        self._stored = {part for part in self._stored if make_key(part) != item.key}
+        for part, conviction in list(self._evidence.convictions.items()):
+            if make_key(part) != item.key:
+                continue
+            if item.from_copy:
+                self._write_later(conviction)
+            else:
+                self._lift(part, "it was removed from the store")
+
+    def _lift(self, part: Part, reason: str) -> bool:
+        if not self._evidence.lift(part):
+            return False
+        log_event("part_lifted", service=part.service, part=part.name, reason=reason)
+        self._wake()
+        return True
+
+    def _report_completions(self, parts: Iterable[Part], *, again: bool = False) -> None:
+        """Tell the other VMs of completed answers that they may not know of, or all ``again``."""
+        now = self._now()
+        by_service: defaultdict[str, dict[str, int]] = defaultdict(dict)
+        for part in parts:
+            at = self._evidence.completed_at(part)
+            known_at = self._reported_completions.get(part, NO_REPORT).at
+            if at is not None and (again or at > known_at + KNOWN_COMPLETION_S):
+                self._remember_report(part, at)
+                by_service[part.service][part.name] = int((now - at) * 1000)
+        for service, completed in by_service.items():
+            self._broadcast(PartReport(vm=self._vm, service=service, completed=completed))
+
+    def _answer_question(self, parts: list[Part], asked_at: float) -> None:
+        """Report answers on parts, unless another VM has since the question."""
+        unanswered = [
+            part
+            for part in parts
+            if self._reported_completions.get(part, NO_REPORT).heard_at < asked_at
+        ]
+        self._report_completions(unanswered, again=True)
+
+    def _remember_report(self, part: Part, at: float) -> None:
+        self._reported_completions[part] = ReportedCompletion(at=at, heard_at=self._now())
+        self._reported_completions.move_to_end(part)
+        if len(self._reported_completions) > MAX_PARTS_PER_REPORT:
+            self._reported_completions.popitem(last=False)
+
+    def _inform(self, peers: list[str], now: float) -> None:
+        for at, report in self._own_reports:
+            if now - at < REPORT_RETENTION_S:
+                age_ms = int((now - at) * 1000)
+                self._link.send(msgspec.structs.replace(report, age_ms=age_ms), peers)
+        for conviction in self._evidence.convictions.values():
+            self._link.send(self._describe_conviction(conviction), peers)
+
+    def _rank(self, part: Part) -> int:
+        return rank_nodes([self._vm, *self._link.peers], part.name).index(self._vm)
+
+    def _broadcast(self, message: Broadcast) -> None:
+        self._link.broadcast(message)
+
+    def _wait(self, seconds: float) -> Deferred[None]:
+        changed: Deferred[None] = Deferred()
+        self._waiting.append(changed)
+        self._reactor.callLater(seconds, self._end_wait, changed)
+        return changed
+
+    def _end_wait(self, changed: Deferred[None]) -> None:
+        if changed in self._waiting:
+            self._waiting.remove(changed)
+            changed.callback(None)
+
+    def _wake(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for changed in waiting:
+            changed.callback(None)
+
+    def _now(self) -> float:
+        return self._reactor.seconds()  # type: ignore[no-any-return]
--- /dev/null
+++ b/src/cactusshunt/quarantine/probe_claims.py
@@ -0,0 +1,74 @@
+"""Which VM may send a request with a suspected part: one at a time over all VMs.
+
+A VM claims a part before it sends such a request and waits until a competing claim would have
+arrived. Of two claims at the same time the preferred VM's stands, which all VMs compute alike.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cactusshunt.decisions.rendezvous import hash_score
+
+if TYPE_CHECKING:
+    from cactusshunt.quarantine.crash_evidence import Part
+
+SETTLE_S = 0.04  # two hops between availability zones, with a margin
+CLAIM_LIFETIME_S = 2.0  # of a claim that is not repeated
+CLAIM_REPEAT_S = 0.5
+
+
+@dataclass(frozen=True, kw_only=True)
+class Claim:
+    """A VM's claim; ``ends_at`` and ``settled_at`` are reactor time in seconds."""
+
+    vm: str
+    settled_at: float
+    ends_at: float
+
+
+class ProbeClaims:
+    """The claims that this VM knows, its own included."""
+
+    def __init__(self, *, vm: str) -> None:
+        self._vm = vm
+        self._claims: dict[Part, Claim] = {}
+
+    def claim(self, part: Part, now: float) -> bool:
+        """Claim a part for this VM; ``False`` if another VM has it."""
+        known = self._find(part, now)
+        if known is not None and known.vm != self._vm:
+            return False
+        settled_at = known.settled_at if known is not None else now + SETTLE_S
+        self._claims[part] = Claim(
+            vm=self._vm, settled_at=settled_at, ends_at=now + CLAIM_LIFETIME_S
+        )
+        return True
+
+    def apply(self, vm: str, part: Part, now: float) -> None:
+        """Apply another VM's claim, unless that of a preferred VM stands."""
+        known = self._find(part, now)
+        if known is not None and known.vm != vm and not self._is_preferred(vm, known.vm, part):
+            return
+        self._claims[part] = Claim(vm=vm, settled_at=now, ends_at=now + CLAIM_LIFETIME_S)
+
+    def release(self, vm: str, part: Part) -> None:
+        """End a VM's claim."""
+        known = self._claims.get(part)
+        if known is not None and known.vm == vm:
+            del self._claims[part]
+
+    def holds(self, part: Part, now: float) -> bool:
+        """Return whether this VM may send a request with the part now."""
+        known = self._find(part, now)
+        return known is not None and known.vm == self._vm and now >= known.settled_at
+
+    def _find(self, part: Part, now: float) -> Claim | None:
+        known = self._claims.get(part)
+        if known is None or now >= known.ends_at:
+            return None
+        return known
+
+    def _is_preferred(self, vm: str, other: str, part: Part) -> bool:
+        return hash_score(vm, part.name) > hash_score(other, part.name)
--- a/src/cactusshunt/requests/local_answers.py
+++ b/src/cactusshunt/requests/local_answers.py
@@ -28,6 +28,11 @@
     return 503, build_local_answer_headers(request_id, retry_after_s), body
 
 
+def build_rejection(request_id: bytes, reason: str) -> tuple[int, Headers, bytes]:
+    """Return status, headers and body of a 501: the request did not run and never will succeed."""
+    return 501, build_local_answer_headers(request_id), _encode(request_id, reason, "no")
+
+
 def build_failure(status: int, request_id: bytes, reason: str) -> tuple[int, Headers, bytes]:
     """Return status, headers and body of a failure; the body says that the request may have run."""
     return status, build_local_answer_headers(request_id), _encode(request_id, reason, "unknown")
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -30,6 +30,8 @@
     from cactusshunt.http1.connection_pool import ConnectionPool
     from cactusshunt.http1.upstream_connection import UpstreamConnection
     from cactusshunt.limits.request_limits import RequestLimits
+    from cactusshunt.quarantine.part_quarantine import Block
+    from cactusshunt.quarantine.part_quarantine import PartQuarantine
     from cactusshunt.requests.admission import Refusal
     from cactusshunt.requests.job import Job
     from cactusshunt.requests.retry_allowance import RetryAllowance
@@ -56,6 +58,7 @@
         picker: UpstreamPicker,
         allowance: RetryAllowance,
         limits: RequestLimits,
+        quarantine: PartQuarantine,
     ) -> None:
         self._reactor = reactor
         self._pool = pool
@@ -63,6 +66,7 @@
         self._picker = picker
         self._allowance = allowance
         self._limits = limits
+        self._quarantine = quarantine
 
     async def run(self, job: Job) -> None:
         """Handle a request until it is answered, by its deadline at the latest."""
@@ -73,11 +77,16 @@
         finally:
             if timer.active():
                 timer.cancel()
+            self._quarantine.release(job)
             if not job.done:
                 self._answer_locally(job, "internal error")
 
     async def _run_attempts(self, job: Job) -> None:
         while not job.done and not job.connection.disconnected:
+            block = await self._quarantine.admit(job)
+            if block is not None:
+                self._answer_blocked(job, block)
+                return
             picked = await self._picker.pick(job)
             if job.done or job.connection.disconnected:
                 self._limits.return_permit(picked.permit)
@@ -138,6 +147,10 @@
             # The permit ended, or the limit became known, while the connection was opened.
             self._pool.release(upstream.address, connection)
             return Outcome.NOT_REACHED
+        if not self._quarantine.may_send(job):
+            self._pool.release(upstream.address, connection)
+            self._limits.return_permit(picked.permit)
+            return Outcome.NOT_REACHED
         return await self._exchange(job, picked, upstream, connection)
 
     async def _exchange(
@@ -157,6 +170,8 @@
         job.sink.on_head = lambda: self._limits.record_answer(upstream, job.sink.headers)
         job.sink.on_first_byte = lambda: self._record_first_byte(job, picked, upstream, attempt)
         upstream.begin(attempt)
+        born = upstream.entry.born
+        self._quarantine.begin(job, upstream)
         if job.generation is not None:
             upstream.cache.add(job.item, job.generation.prompt_parts)
         if job.cancellable:
@@ -178,6 +193,8 @@
         upstream.end(attempt)
         self._pool.release(upstream.address, connection)
         outcome = self._classify_outcome(job, upstream, end)
+        answered = outcome is Outcome.ANSWERED
+        self._quarantine.end(job, upstream, born=born, answered=answered, end=end)
         self._record_outcome(job, upstream, outcome, now, picked)
         return outcome
 
@@ -288,8 +305,21 @@
         job.retry_after_s = refusal.retry_after_s
         self._answer_locally(job, refusal.reason)
 
-    def _answer_locally(self, job: Job, reason: str) -> None:
-        """Send a local answer, which says "not run" only if that is certain."""
+    def _answer_blocked(self, job: Job, block: Block) -> None:
+        """Answer a request whose prompt is not sent to engines."""
+        if block.retry_after_s is not None:
+            job.retry_after_s = block.retry_after_s
+        self._answer_locally(job, block.reason, final=block.retry_after_s is None)
+
+    def record_crash(self, upstream: Upstream) -> None:
+        """Let an engine that crashed rest until it is reached again."""
+        self._record_failure(upstream, unreached=True)
+
+    def _answer_locally(self, job: Job, reason: str, *, final: bool = False) -> None:
+        """Send a local answer, which says "not run" only if that is certain.
+
+        ``final`` asks the caller not to send the request again.
+        """
         if job.done:
             return
         job.done = True
@@ -300,7 +330,9 @@
         if job.sink.forwarding_started:
             job.connection.abort()
             return
-        if not ran:
+        if not ran and final:
+            answer = local_answers.build_rejection(job.request_id, reason)
+        elif not ran:
             answer = local_answers.build_refusal(job.request_id, reason, job.retry_after_s)
         else:
             timed_out = Outcome.TIMED_OUT in job.outcomes or job.running
--- a/tests/quarantine/deadly_parts.feature
+++ b/tests/quarantine/deadly_parts.feature
@@ -6,3 +6,41 @@
     Then at most 3 requests with the part reach engines later than 3 seconds after the fifth crash
     And at most 5 engines crash
     And from 6 seconds after the last crash sound requests are served half as often as before or more
+
+  Scenario Outline: VMs find a deadly part together while datagrams are lost
+    Given <vms> simulated VMs and <engines> engines, and datagrams of which 3 % are lost
+    When requests with a deadly part come for <seconds> seconds, in <seeds> runs
+    Then at most 5 engines crash in each run, and no VM convicts another part
+    And at most 1 % of the sound requests are not admitted
+
+    Examples:
+      | vms | engines | seconds | seeds |
+      | 2   | 3       | 8       | 3     |
+      | 8   | 9       | 8       | 3     |
+      | 63  | 70      | 3       | 1     |
+
+  Scenario Outline: Many engines crash for another cause
+    Given <vms> simulated VMs and <engines> engines, and datagrams of which 3 % are lost
+    When engines crash for another cause for <seconds> seconds, in <seeds> runs
+    Then at most 1 % of the sound requests are not admitted
+
+    Examples:
+      | vms | engines | seconds | seeds |
+      | 2   | 3       | 10      | 3     |
+      | 8   | 9       | 10      | 3     |
+      | 63  | 70      | 3       | 1     |
+
+  Scenario: A VM that hears no peer learns of the conviction from the store
+    Given 8 simulated VMs and 9 engines, and datagrams of which 3 % are lost
+    When one VM hears no peers, and requests with a deadly part come for 8 seconds
+    Then at most 6 engines crash, and that VM rejects the part in the end
+
+  Scenario: A conviction ends by an operator, by new software or by time
+    Given 2 simulated VMs that have convicted a part
+    Then both send requests with it again when an operator lifts it
+    And a request probes it when all engines have a new version of their software
+    And after its time one crash convicts it again, and one answer ends it
+
+  Scenario: Suspicions and answers of a caller who invents parts are bounded in memory
+    Given 20000 invented parts that were answered, and 20000 that crashed an engine
+    Then at most 8192 and 1024 of them are remembered
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -25,6 +25,7 @@
 from cactusshunt.membership.messages import UpstreamLimit
 from cactusshunt.membership.messages import UpstreamPermits
 from cactusshunt.membership.messages import encode_message
+from cactusshunt.quarantine.part_quarantine import PartQuarantine
 from cactusshunt.requests.answer_sink import AnswerSink
 from cactusshunt.requests.relay import Relay
 from cactusshunt.requests.retry_allowance import RetryAllowance
@@ -204,6 +205,14 @@
         picker=vm.picker,
         allowance=RetryAllowance(ratio=0.2, window_s=10.0, spare=10.0, started_at=0.0),
         limits=vm.limits,
+        quarantine=PartQuarantine(
+            reactor=vm.reactor,
+            vm="vm0",
+            pool=pool,
+            directory=vm.directory,
+            link=vm.link,
+            store=SimpleNamespace(),  # type: ignore[arg-type]
+        ),
     )
     job = make_job(5)
     for name, value in RELAYED_JOB.items():
--- /dev/null
+++ b/tests/steps/quarantine_steps.py
@@ -0,0 +1,142 @@
+"""Steps on the quarantine of prompt parts, over simulated VMs and engines."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+from simulated_quarantine import DEADLY_PART
+from simulated_quarantine import SERVICE
+from simulated_quarantine import STEP_S
+from simulated_quarantine import SimulatedQuarantines
+
+from cactusshunt.quarantine.crash_evidence import CONVICTION_S
+from cactusshunt.quarantine.crash_evidence import MAX_SOUND_PARTS
+from cactusshunt.quarantine.crash_evidence import MAX_SUSPECTS
+from cactusshunt.quarantine.crash_evidence import Crash
+from cactusshunt.quarantine.crash_evidence import CrashEvidence
+from cactusshunt.quarantine.crash_evidence import Part
+from cactusshunt.quarantine.crash_evidence import Verdict
+
+PART = Part(service=SERVICE, name=DEADLY_PART)
+NEVER = 1e9
+
+
+@given(
+    "{vms:d} simulated VMs and {engines:d} engines, and datagrams of which {percent:d} % are lost"
+)
+def make_fleet(context: Any, vms: int, engines: int, percent: int) -> None:
+    context.make = lambda seed: SimulatedQuarantines(
+        seed=seed, vms=vms, engines=engines, loss=percent / 100.0
+    )
+
+
+@when("requests with a deadly part come for {seconds:d} seconds, in {seeds:d} runs")
+def run_deadly(context: Any, seconds: int, seeds: int) -> None:
+    context.runs = [context.make(seed) for seed in range(seeds)]
+    for run in context.runs:
+        run.run(seconds, deadly_from=1.0, crashes_per_s=0.0)
+
+
+@when("engines crash for another cause for {seconds:d} seconds, in {seeds:d} runs")
+def run_crashes(context: Any, seconds: int, seeds: int) -> None:
+    context.runs = [context.make(seed) for seed in range(seeds)]
+    for run in context.runs:
+        run.run(seconds, deadly_from=NEVER, crashes_per_s=1.0)
+
+
+@then("at most {count:d} engines crash in each run, and no VM convicts another part")
+def check_crashes(context: Any, count: int) -> None:
+    for run in context.runs:
+        assert 0 < len(run.deadly_crashes) <= count, run.deadly_crashes
+        for quarantine in run.vms.values():
+            assert set(quarantine._evidence.convictions) <= {PART}
+
+
+@then("at most {percent:d} % of the sound requests are not admitted")
+def check_sound(context: Any, percent: int) -> None:
+    for run in context.runs:
+        refused = run.sound["convicted"] + run.sound["held back"]
+        assert refused <= percent / 100.0 * run.sound.total(), run.sound
+
+
+@when("one VM hears no peers, and requests with a deadly part come for {seconds:d} seconds")
+def run_cut(context: Any, seconds: int) -> None:
+    context.run = context.make(0)
+    context.run.cut.add("vm0")
+    context.run.run(seconds, deadly_from=1.0, crashes_per_s=0.0)
+
+
+@then("at most {count:d} engines crash, and that VM rejects the part in the end")
+def check_cut(context: Any, count: int) -> None:
+    assert len(context.run.deadly_crashes) <= count, context.run.deadly_crashes
+    assert read_verdicts(context.run)[0] is Verdict.CONVICTED
+
+
+def read_verdicts(run: SimulatedQuarantines) -> list[Verdict]:
+    return [vm._assess(PART, run.clock.seconds()) for vm in run.vms.values()]
+
+
+def convict(vms: int) -> SimulatedQuarantines:
+    run = SimulatedQuarantines(seed=1, vms=vms, engines=3, loss=0.0)
+    run.run(6.0, deadly_from=0.5, crashes_per_s=0.0)
+    assert set(read_verdicts(run)) == {Verdict.CONVICTED}
+    return run
+
+
+@given("{vms:d} simulated VMs that have convicted a part")
+def make_convicted(context: Any, vms: int) -> None:
+    context.convict = lambda: convict(vms)
+
+
+@then("both send requests with it again when an operator lifts it")
+def check_lifted(context: Any) -> None:
+    run = context.convict()
+    assert run.vms["vm0"].lift(SERVICE, DEADLY_PART)
+    assert not run.vms["vm0"].lift(SERVICE, DEADLY_PART)
+    run.clock.pump([STEP_S] * 200)
+    assert set(read_verdicts(run)) == {Verdict.SOUND}
+
+
+@step("a request probes it when all engines have a new version of their software")
+def check_new_version(context: Any) -> None:
+    run = context.convict()
+    run.engines[0].entry.version = "2"
+    assert set(read_verdicts(run)) == {Verdict.CONVICTED}
+    for engine in run.engines:
+        engine.entry.version = "2"
+    assert set(read_verdicts(run)) == {Verdict.SUSPECTED}
+
+
+@step("after its time one crash convicts it again, and one answer ends it")
+def check_end(context: Any) -> None:
+    run = context.convict()
+    for _ in range(int(CONVICTION_S / 0.5)):
+        run.clock.advance(0.5)
+    assert set(read_verdicts(run)) == {Verdict.SUSPECTED}
+    crashes = len(run.deadly_crashes)
+    run.run(4.0, deadly_from=0.0, crashes_per_s=0.0)
+    assert len(run.deadly_crashes) == crashes + 1
+    assert set(read_verdicts(run)) == {Verdict.CONVICTED}
+    for vm in run.vms.values():
+        vm._record_completion(PART, run.clock.seconds())
+    assert set(read_verdicts(run)) == {Verdict.SOUND}
+
+
+@given("{answered:d} invented parts that were answered, and {crashed:d} that crashed an engine")
+def make_invented(context: Any, answered: int, crashed: int) -> None:
+    context.evidence = CrashEvidence()
+    for number in range(answered):
+        context.evidence.record_completion(Part(service=SERVICE, name=f"a{number}"), 1.0)
+    parts = [Part(service=SERVICE, name=f"c{number}") for number in range(crashed)]
+    context.evidence.record_crash(Crash(upstream="e1", born=1), parts, 2.0)
+
+
+@then("at most {sound:d} and {suspects:d} of them are remembered")
+def check_bounds(context: Any, sound: int, suspects: int) -> None:
+    assert (sound, suspects) == (MAX_SOUND_PARTS, MAX_SUSPECTS)
+    assert len(context.evidence._completed) == sound
+    assert len(context.evidence._suspects) == suspects
--- /dev/null
+++ b/tests/steps/simulated_quarantine.py
@@ -0,0 +1,186 @@
+"""VMs with a quarantine for prompt parts, and engines that crash, on a manual clock."""
+
+from __future__ import annotations
+
+import random
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from types import SimpleNamespace
+from typing import Any
+
+from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.task import Clock
+
+from cactusshunt.exceptions import UpstreamNotReachedError
+from cactusshunt.http1.upstream_connection import ExchangeEnd
+from cactusshunt.membership.messages import decode_message
+from cactusshunt.membership.messages import encode_message
+from cactusshunt.platform.store import StoredItem
+from cactusshunt.quarantine.part_quarantine import PartQuarantine
+from cactusshunt.tasks.periodic import pause
+from cactusshunt.tasks.periodic import start_coroutine
+
+STEP_S = 0.005
+HOP_S = 0.002
+STORE_S = 0.5  # until a change of the store has reached a VM
+BACK_S = 2.5
+DEADLY_PART = "dead"
+DEADLY_PER_S = 4.0
+SOUND_PER_S = 60.0
+SUBJECTS = 400  # second parts of sound requests, a few of them in most requests
+SERVICE = "engines"
+
+
+@dataclass(kw_only=True)
+class SimulatedEngine:
+    """One run of an engine, as all VMs see it."""
+
+    name: str
+    alive: bool = True
+    address: tuple[str, int] = ("", 0)
+    ready: bool = True
+    removed_at: float | None = None
+    entry: Any = field(default_factory=lambda: SimpleNamespace(born=1, version="1"))
+    open_attempts: list[Any] = field(default_factory=list)
+
+
+class SimulatedQuarantines:
+    """VMs, engines and requests; ``cut`` VMs hear no peers."""
+
+    def __init__(self, *, seed: int, vms: int, engines: int, loss: float = 0.03) -> None:
+        self.rng = random.Random(seed)
+        self.clock = Clock()
+        self.clock.advance(100.0)
+        self.loss = loss
+        self.cut: set[str] = set()
+        self.engines = [self._make_engine() for _ in range(engines)]
+        self.born = 0
+        self.deadly_crashes: list[float] = []
+        self.deadly_arrivals: list[float] = []
+        self.sound: Counter[str] = Counter()
+        self.datagrams = 0
+        self.vms = {f"vm{number}": self._make_vm(f"vm{number}") for number in range(vms)}
+
+    def _make_engine(self) -> SimulatedEngine:
+        self.born = getattr(self, "born", 0) + 1
+        return SimulatedEngine(name=f"e{self.born}", address=(f"e{self.born}", 1))
+
+    def _make_vm(self, vm: str) -> PartQuarantine:
+        clock: Any = self.clock
+        link: Any = SimpleNamespace(
+            broadcast=lambda message: self._broadcast(vm, message),
+            send=lambda message, peers: None,
+            peers={},
+        )
+        quarantine = PartQuarantine(
+            reactor=clock,
+            vm=vm,
+            pool=SimpleNamespace(  # type: ignore[arg-type]
+                acquire=self._acquire, release=lambda address, connection: None
+            ),
+            directory=SimpleNamespace(of_service=lambda name: self.engines),  # type: ignore[arg-type]
+            link=link,
+            store=SimpleNamespace(commit=self._commit),  # type: ignore[arg-type]
+        )
+        quarantine._random.seed(self.rng.random())
+        return quarantine
+
+    def _broadcast(self, vm: str, message: Any) -> None:
+        data = encode_message(message)
+        for peer, quarantine in self.vms.items():
+            if peer == vm or peer in self.cut or vm in self.cut:
+                continue
+            self.datagrams += 1
+            if self.rng.random() >= self.loss:
+                delay_s = self.rng.uniform(HOP_S, 3 * HOP_S)
+                self.clock.callLater(delay_s, quarantine.apply_message, decode_message(data))
+
+    async def _commit(self, *, unleased_puts: Any = None, removals: Any = (), **_: Any) -> None:
+        for key, value in [*(unleased_puts or {}).items(), *((key, None) for key in removals)]:
+            for quarantine in self.vms.values():
+                item = StoredItem(key=key, value=value, revision=1)
+                self.clock.callLater(STORE_S, quarantine.apply_stored_item, item)
+
+    async def _acquire(self, address: tuple[str, int]) -> Any:
+        await self._pause(HOP_S)
+        if any(engine.alive and engine.address == address for engine in self.engines):
+            return object()
+        error = UpstreamNotReachedError(reason="Refused.", remedy="")
+        raise error from ConnectionRefusedError()
+
+    def run(self, seconds: float, *, deadly_from: float, crashes_per_s: float) -> None:
+        """Send sound requests, those with the part, and let engines crash for other causes."""
+        ends_at = self.clock.seconds() + seconds
+        deadly_at = self.clock.seconds() + deadly_from
+        while self.clock.seconds() < ends_at:
+            if self.rng.random() < SOUND_PER_S * STEP_S:
+                self._request(f"s{int(SUBJECTS * self.rng.random() ** 3)}")
+            if self.clock.seconds() > deadly_at and self.rng.random() < DEADLY_PER_S * STEP_S:
+                self._request(DEADLY_PART)
+            if self.rng.random() < crashes_per_s * STEP_S:
+                for _ in range(self.rng.choice((1, 1, 2, len(self.engines) // 3))):
+                    self.crash(self.rng.choice(self.engines))
+            self.clock.advance(STEP_S)
+
+    def crash(self, engine: SimulatedEngine) -> None:
+        """End an engine; another takes its place later."""
+        if not engine.alive:
+            return
+        engine.alive = False
+        for attempt in list(engine.open_attempts):
+            attempt.ended = ExchangeEnd.BROKEN
+        self.clock.callLater(BACK_S, self._replace, engine)
+
+    def _replace(self, engine: SimulatedEngine) -> None:
+        self.engines[self.engines.index(engine)] = self._make_engine()
+
+    def _request(self, second: str) -> None:
+        vm = self.rng.choice(list(self.vms))
+        job = SimpleNamespace(
+            service=SERVICE,
+            generation=SimpleNamespace(prompt_parts=(("first", 1), (second, 1), ("last", 1))),
+            connection=SimpleNamespace(disconnected=False),
+            route=SimpleNamespace(target_latency_ms=800.0),
+            deadline=self.clock.seconds() + 4.0,
+            done=False,
+            last_sent_at=None,
+        )
+        start_coroutine(self._serve(self.vms[vm], job, second == DEADLY_PART))
+
+    async def _serve(self, quarantine: PartQuarantine, job: Any, deadly: bool) -> None:
+        result = await self._attempt(quarantine, job, deadly)
+        quarantine.release(job)
+        if not deadly:
+            self.sound[result] += 1
+
+    async def _attempt(self, quarantine: PartQuarantine, job: Any, deadly: bool) -> str:
+        block = await quarantine.admit(job)
+        if block is not None:
+            return "convicted" if block.retry_after_s is None else "held back"
+        alive = [engine for engine in self.engines if engine.alive]
+        if not alive or not quarantine.may_send(job):
+            return "no engine"
+        engine: Any = self.rng.choice(alive)
+        attempt = SimpleNamespace(ended=None)
+        engine.open_attempts.append(attempt)
+        job.last_sent_at = self.clock.seconds()
+        quarantine.begin(job, engine)
+        if deadly:
+            self.deadly_arrivals.append(self.clock.seconds())
+        ends_at = self.clock.seconds() + (0.06 if deadly else self.rng.uniform(0.1, 0.8))
+        while attempt.ended is None and self.clock.seconds() < ends_at:
+            await self._pause(STEP_S)
+        if deadly and engine.alive:
+            self.deadly_crashes.append(self.clock.seconds())
+            self.crash(engine)
+        engine.open_attempts.remove(attempt)
+        answered = attempt.ended is None and not deadly
+        end = ExchangeEnd.COMPLETE if answered else ExchangeEnd.BROKEN
+        quarantine.end(job, engine, born=1, answered=answered, end=end)
+        return "answered" if answered else "broken"
+
+    async def _pause(self, seconds: float) -> None:
+        clock: Any = self.clock
+        await pause(clock, seconds)
