--- a/tests/steps/simulated_quarantine.py
+++ b/tests/steps/simulated_quarantine.py
@@ -105,7 +105,7 @@
     async def _acquire(self, address: tuple[str, int]) -> Any:
         await self._pause(HOP_S)
         if any(engine.alive and engine.address == address for engine in self.engines):
-            return object()
+            return SimpleNamespace(usable=True)
         error = UpstreamNotReachedError(reason="Refused.", remedy="")
         raise error from ConnectionRefusedError()
 
