Let engines die of a part of prompts in the soak

From a random moment on engines die of a part that 3 % of the streams have, and are born again; at most three requests with it may reach engines later than 3 s after the fifth crash, counted from nodes that nothing disturbed. The check that a configuration is in force now leaves out only faults of the node itself and of the store, so that it applies more often.

--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -179,10 +179,9 @@
         """Set the fault of an upstream's next ``count`` requests, or make it drain."""
         call(self.upstream_ports[engine], "POST", "/test/fault", {"kind": kind, "count": count})
 
-    def set_deadly_part(self, part: str | None) -> None:
-        """Name a part of prompts under which engines die; ``None`` ends it."""
-        for engine in [name for name in self.upstream_ports if name.startswith("e")]:
-            call(self.upstream_ports[engine], "POST", "/test/deadly", {"part": part})
+    def set_deadly_part(self, engine: str, part: str | None) -> None:
+        """Name a part of prompts under which an engine dies; ``None`` ends it."""
+        call(self.upstream_ports[engine], "POST", "/test/deadly", {"part": part})
 
     def name_limit(self, engine: str, value: str | None, every: int = 1) -> None:
         """Make an upstream name a request limit in every ``every``-th answer; ``None`` ends it."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,15 +9,19 @@
 import time
 
 from collections import Counter
+from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
+from local.platform_deployment import wait_until
+from soak.callers import DEADLY_PART
 from soak.callers import Caller
 from soak.faulty_link import LinkMode
 from soak.fleet import SoakFleet
+from soak.guarantees import DeadlyEvent
 from soak.guarantees import ExecutionRecord
 from soak.guarantees import LimitedArrival
 from soak.guarantees import Observations
@@ -25,6 +29,7 @@
 from soak.guarantees import find_violations
 from soak.schedule import Fault
 from soak.schedule import draw_copies
+from soak.schedule import draw_deadly
 from soak.schedule import draw_faults
 from soak.schedule import draw_limits
 
@@ -34,6 +39,7 @@
     "link_cut_up": LinkMode.CUT_TO_SERVER,
     "link_cut_down": LinkMode.CUT_FROM_SERVER,
 }
+DEADLY_REPEAT_S = 0.3
 RESTART_DELAY_S = 0.3  # imitates a platform that restarts ended processes
 COOL_DOWN_S = 4.0  # lets open requests finish at the end of a run
 
@@ -77,12 +83,11 @@
             results=[result for caller in self._callers for result in caller.results],
             runs=self._read_runs(),
             limited=self._read_limited(),
+            deadly=self._read_deadly(),
             faults=self._faults,
             versions=self._versions,
             configured=self._configured,
-            overcommitted=[
-                n for n in self._fleet.upstream_ports if self._fleet.state_of(n)["overcommitted"]
-            ],
+            overcommitted=[n for n in self._fleet.upstream_ports if self._was_overcommitted(n)],
             failed_processes=self._failed_processes,
         )
 
@@ -112,6 +117,8 @@
             self._drain(fault)
         elif kind == "limit":
             self._limit(fault)
+        elif kind == "deadly":
+            self._make_deadly(fault)
         else:
             self._restart_process(kind, target)
 
@@ -142,6 +149,15 @@
         except OSError:  # the upstream was killed, and starts again without a limit
             return
 
+    def _make_deadly(self, fault: Fault) -> None:
+        """Name the deadly part to all engines until the end, also to those that start again."""
+        engines = [name for name in self._fleet.upstream_ports if name.startswith("e")]
+        while time.time() < fault.ends_at:
+            for engine in engines:
+                with suppress(OSError):
+                    self._fleet.set_deadly_part(engine, DEADLY_PART)
+            time.sleep(DEADLY_REPEAT_S)
+
     def _restart_process(self, kind: str, target: str) -> None:
         process = self._fleet.processes[target]
         self._fleet.signal(target, signal.SIGCONT)
@@ -171,6 +187,17 @@
                     continue
             time.sleep(0.2)
 
+    def _was_overcommitted(self, upstream: str) -> bool:
+        """Return whether an upstream was overcommitted; a dead engine tells when it is back."""
+        states: list[bool] = []
+
+        def is_read() -> bool:
+            states.append(bool(self._fleet.state_of(upstream)["overcommitted"]))
+            return True
+
+        wait_until(is_read)
+        return states[0]
+
     def _read_runs(self) -> list[ExecutionRecord]:
         runs = []
         for name in self._fleet.upstream_ports:
@@ -192,6 +219,14 @@
             if len(fields) == 4 and fields[0] == "limited"
         ]
 
+    def _read_deadly(self) -> list[DeadlyEvent]:
+        return [
+            DeadlyEvent(kind=fields[0], request_id=fields[1], at=float(fields[2]))
+            for name in self._fleet.upstream_ports
+            for fields in map(str.split, self._fleet.read_log(name).splitlines())
+            if len(fields) == 3 and fields[0] in ("deadly", "crash")
+        ]
+
 
 def run_soak(
     seed: Annotated[int, typer.Option(help="Seed of the faults and callers.")] = 1,
@@ -207,6 +242,7 @@
     fleet = SoakFleet(first_port=first_port, nodes=nodes)
     faults = draw_faults(seed, minutes * 60.0, list(fleet.caller_ports), list(fleet.upstream_ports))
     faults += draw_copies(seed, minutes * 60.0)
+    faults.append(draw_deadly(seed, minutes * 60.0))
     faults += draw_limits(seed, minutes * 60.0, list(fleet.upstream_ports))
     threads = [
         Caller(fleet=fleet, rng=random.Random(f"{seed}/{number}")) for number in range(callers)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,6 +21,9 @@
 AT_MOST_ONCE_KINDS = ("stream", "once")
 MODELS = ("captions", "captions", "summaries", "tags", "links", "letters")
 REQUEST_GAP_S = 0.02
+DEADLY_PART = "dead"  # of prompts; some upstreams die of it for a while
+DEADLY_SHARE = 0.03  # of the streams, which have it as their second part
+SUBJECTS = 20  # other second parts
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -90,8 +93,9 @@
         if streams:
             headers |= {
                 "X-Model": self._rng.choice(MODELS),
-                "X-Token-Count": "100,8",
-            }  # prompt and answer tokens
+                "X-Token-Count": "100,8",  # prompt and answer tokens
+                "X-Prompt-Prefix": f"aa:50,{self._draw_part()}:30,{request_id}:20",
+            }
         method = "GET" if kind == "again" else "POST"
         connection.request(method, PATHS_BY_KIND[kind], b"" if method == "GET" else b"{}", headers)
         answer = connection.getresponse()
@@ -111,6 +115,11 @@
         complete = numbers == [str(number).encode() for number in range(1, 9)]
         return 200, complete, own and answer.getheader("X-Response-Seal", "").startswith("seal-")
 
+    def _draw_part(self) -> str:
+        if self._rng.random() < DEADLY_SHARE:
+            return DEADLY_PART
+        return f"b{self._rng.randrange(SUBJECTS)}"
+
     def _connect(self) -> http.client.HTTPConnection:
         if self._connection is None:
             ready = [name for name in self._fleet.caller_ports if self._fleet.is_ready(name)]
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -21,6 +21,8 @@
 LIMIT_WINDOW_S = 4.0
 FIRST_LIMIT_WINDOW_S = 3.0  # after an upstream first named a limit
 TOLD_S = 0.5  # a node knows a limit this long after its first request that was answered with it
+CRASHES_ALLOWED = 5  # under the deadly part, before requests with it count
+LATE_DEADLY_ALLOWED = 3
 STOP_GRACE_S = 6.0  # graceS in the nodes' settings
 
 
@@ -43,6 +45,15 @@
     limit: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class DeadlyEvent:
+    """A request with the deadly part that arrived at an engine, or the crash under it."""
+
+    kind: str  # "deadly" or "crash"
+    request_id: str
+    at: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class ObservedVersion:
     """The configuration version that a node's process had in force at one moment."""
@@ -69,6 +80,7 @@
     failed_processes: Sequence[str]
     configured: Sequence[tuple[float, int]] = ()
     limited: Sequence[LimitedArrival] = ()
+    deadly: Sequence[DeadlyEvent] = ()
 
 
 def find_violations(observations: Observations) -> list[str]:
@@ -80,6 +92,7 @@
         *_check_stops(observations),
         *_check_versions(observations),
         *_check_limits(observations),
+        *_check_deadly(observations),
         *(f"memory of {name} was overcommitted" for name in observations.overcommitted),
         *(f"process {name} ended with an error" for name in observations.failed_processes),
     ]
@@ -157,8 +170,8 @@
             for at, version in observations.configured
             if at + CONFIGURATION_S < found.at and version > found.version
         ]
-        calm_since = found.at - CONFIGURATION_S - SETTLE_S
-        if due and not _has_other_fault(observations, calm_since, found.at):
+        calm_since = found.at - CONFIGURATION_S
+        if due and not _is_disturbed(observations, found.node, calm_since, found.at):
             violations.append(f"{found.node} had {found.version} in force instead of {max(due)}")
     return violations
 
@@ -189,11 +202,43 @@
     return violations
 
 
+def _check_deadly(observations: Observations) -> list[str]:
+    """Check that requests with the deadly part stay away from engines after five crashes.
+
+    Requests count from nodes that nothing has disturbed for 3 s.
+    """
+    crashes = sorted(found.at for found in observations.deadly if found.kind == "crash")
+    if len(crashes) < CRASHES_ALLOWED:
+        return []
+    node_of = {found.request_id: found.node for found in observations.results}
+    late = [
+        found
+        for found in observations.deadly
+        if found.kind == "deadly"
+        and found.at > crashes[CRASHES_ALLOWED - 1] + SETTLE_S
+        and not _is_disturbed(observations, node_of.get(found.request_id), found.at, found.at)
+    ]
+    if len(late) <= LATE_DEADLY_ALLOWED:
+        return []
+    return [
+        f"{len(late)} requests with the deadly part reached engines after {len(crashes)} crashes"
+    ]
+
+
+def _is_disturbed(observations: Observations, node: str | None, begins: float, ends: float) -> bool:
+    """Return whether a fault of a node or of the store may affect the time span."""
+    return any(
+        fault.at < ends and begins < fault.ends_at + SETTLE_S
+        for fault in observations.faults
+        if fault.target in (node, "store") and fault.kind not in ("configuration", "drain")
+    )
+
+
 def _has_other_fault(
     observations: Observations, begins: float, ends: float, ignored: Fault | None = None
 ) -> bool:
     """Return whether a fault other than planned work and ``ignored`` may affect the time span."""
-    planned = ("configuration", "drain")
+    planned = ("configuration", "drain", "deadly")
     return any(
         fault.at < ends and fault.ends_at + SETTLE_S > begins
         for fault in observations.faults
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -98,11 +98,12 @@
         if self.listen is not None:
             self._port = self.listen()
 
-    def _die(self, back_s: float) -> None:
+    def _die(self, request_id: str, back_s: float) -> None:
         if not self._alive or self._port is None:
             return
         self._alive = False
         self._crashes.append(time.time())
+        print("crash", request_id, time.time(), flush=True)
         self._port.stopListening()
         for reader in reactor.getReaders():
             if isinstance(reader, Server):
@@ -216,7 +217,7 @@
         if self._deadly_part in parts[:-1]:
             self._deadly.append((time.time(), request_id))
             print("deadly", request_id, time.time(), flush=True)
-            reactor.callLater(2 * EVENT_INTERVAL_S, self._die, self._back_s)
+            reactor.callLater(2 * EVENT_INTERVAL_S, self._die, request_id, self._back_s)
         self._name_limit(request, request_id)
         model = request.getHeader("X-Model")
         if model is not None and model not in self._models:
--- a/tests/steps/deadly_part_steps.py
+++ b/tests/steps/deadly_part_steps.py
@@ -71,7 +71,9 @@
 )
 def send_both(context: Any, sound: int, deadly: int, s: int) -> None:
     context.answers = []
-    context.nodes.set_deadly_part(DEADLY_PART)
+    engines = [name for name in context.nodes.upstream_ports if name.startswith("e")]
+    for engine in engines:
+        context.nodes.set_deadly_part(engine, DEADLY_PART)
     began_at = time.time()
     with ThreadPoolExecutor(80) as pool:
         for number in range(int(sound * (CALM_S + s))):
@@ -80,7 +82,6 @@
             pool.submit(send, context, number, f"b{number % SUBJECTS}")
             if due_at - began_at > CALM_S and number % (sound // deadly) == 0:
                 pool.submit(send, context, number // (sound // deadly), DEADLY_PART)
-    engines = [name for name in context.nodes.upstream_ports if name.startswith("e")]
     states = [read_state(context, name) for name in engines]
     context.began_at = began_at
     context.crashes = sorted(at for state in states for at in state["crashes"])
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -15,6 +15,7 @@
 
 from local.platform_deployment import ROOT
 from soak.callers import RequestResult
+from soak.guarantees import DeadlyEvent
 from soak.guarantees import ExecutionRecord
 from soak.guarantees import LimitedArrival
 from soak.guarantees import Observations
@@ -104,6 +105,13 @@
         },
         "an engine's memory was overcommitted": {"overcommitted": ["e1"]},
         "a limited service got 12 requests in 4 s": {"limited": limited},
+        "a part under which 5 engines crashed reached 4 more": {
+            "deadly": [
+                DeadlyEvent(kind=kind, request_id=f"r{number}", at=START + number)
+                for number in range(12)
+                for kind in (("deadly", "crash") if number < 5 else ("deadly",))
+            ]
+        },
         "a node ended with an error": {"failed_processes": ["n1 (1)"]},
     }
     for row in context.table:
