--- a/tests/quarantine/deadly_parts.feature
+++ b/tests/quarantine/deadly_parts.feature
@@ -41,6 +41,11 @@
     And a request probes it when all engines have a new version of their software
     And after its time one crash convicts it again, and one answer ends it
 
+  Scenario: A group of engines ends at one moment
+    Given a part without an answer that was at 20 engines when all of them ended at once
+    Then it is suspected, and not convicted
+    But it is convicted when an engine crashes under its probe later
+
   Scenario: Suspicions and answers of a caller who invents parts are bounded in memory
     Given 20000 invented parts that were answered, and 20000 that crashed an engine
     Then at most 8192 and 1024 of them are remembered
--- a/tests/steps/quarantine_steps.py
+++ b/tests/steps/quarantine_steps.py
@@ -140,3 +140,23 @@
     assert (sound, suspects) == (MAX_SOUND_PARTS, MAX_SUSPECTS)
     assert len(context.evidence._completed) == sound
     assert len(context.evidence._suspects) == suspects
+
+
+@given("a part without an answer that was at {count:d} engines when all of them ended at once")
+def make_group(context: Any, count: int) -> None:
+    context.evidence = CrashEvidence()
+    for number in range(count):
+        context.evidence.record_crash(Crash(upstream=f"e{number}", born=1), [PART], 1.0)
+
+
+@then("it is suspected, and not convicted")
+def check_suspected(context: Any) -> None:
+    assert context.evidence.assess(PART, 5.0) is Verdict.SUSPECTED
+    assert not context.evidence.may_probe(PART, 1.2)
+    assert context.evidence.may_probe(PART, 1.6)
+
+
+@step("it is convicted when an engine crashes under its probe later")
+def check_probe_crash(context: Any) -> None:
+    context.evidence.record_crash(Crash(upstream="probed", born=1), [PART], 1.7)
+    assert context.evidence.assess(PART, 5.0) is Verdict.CONVICTED
