Report the unanswered parts of a crash that another VM found first

Found when reading the change: a VM that was told of an engine's crash before its own connections broke did not report its own unanswered parts, so a deadly part that only it had sent was not counted and would cost further engines. And a VM that was told that a crash was taken back still took the run for crashed, and left a later crash of it out.

Change: a VM reports its parts once for each run, without a check of its own if a peer has found out; a crash that is taken back is forgotten everywhere, its report is not repeated.

--- a/src/cactusshunt/quarantine/part_quarantine.py
+++ b/src/cactusshunt/quarantine/part_quarantine.py
@@ -69,6 +69,7 @@
 MAX_STORE_DELAY_S = 3.0
 STORE_TIMEOUT_S = 0.5
 REPORT_RETENTION_S = 60.0  # own reports, for VMs that start
+MAX_OWN_REPORTS = 32
 MAX_RUNS = 256  # crashed runs of engines that are remembered
 MAX_CONVICTIONS = 256
 STORE = "store"  # source of a conviction that the view delivered
@@ -101,6 +102,10 @@
     return tuple(Part(service=job.service, name=name) for name in names[:MAX_PARTS_PER_REQUEST])
 
 
+def _find_run(report: CrashReport) -> tuple[str, int]:
+    return report.upstream, report.born
+
+
 class PartQuarantine:
     """Admits requests, gathers evidence from their ends, and shares it with the other VMs.
 
@@ -132,7 +137,7 @@
         )
         self._checks: dict[tuple[str, int], set[Part]] = {}
         self._crashed_runs: OrderedDict[tuple[str, int], tuple[Crash, float]] = OrderedDict()
-        self._own_reports: deque[tuple[float, CrashReport]] = deque(maxlen=32)
+        self._own_reports: deque[tuple[float, CrashReport]] = deque(maxlen=MAX_OWN_REPORTS)
         self._reported_completions: OrderedDict[Part, ReportedCompletion] = OrderedDict()
         self._stored: set[Part] = set()
         self._waiting: list[Deferred[None]] = []
@@ -217,8 +222,7 @@
     def _apply_crash(self, report: CrashReport) -> None:
         crash = Crash(upstream=report.upstream, born=report.born, version=report.version)
         if report.alive:
-            self._evidence.void_crash(crash)
-            self._wake()
+            self._void_crash(crash)
             return
         parts = [Part(service=report.service, name=name) for name in report.parts]
         self._record_crash(crash, parts, self._now() - report.age_ms / 1000.0)
@@ -360,8 +364,7 @@
         now = self._now()
         crashed = self._crashed_runs.get(run)
         if crashed is not None and sent_at > crashed[1]:
-            del self._crashed_runs[run]
-            self._evidence.void_crash(crashed[0])
+            self._void_crash(crashed[0])
             self._report_alive(crashed[0], parts)
         suspected = [part for part in parts if self._record_completion(part, now)]
         if suspected:
@@ -383,6 +386,14 @@
         completed_at = self._evidence.completed_at(conviction.part)
         return completed_at is not None and completed_at > conviction.last_crash_at
 
+    def _void_crash(self, crash: Crash) -> None:
+        """Forget a crash, so that a later one of the same run of the engine counts."""
+        self._crashed_runs.pop(crash.run, None)
+        kept = [(at, report) for at, report in self._own_reports if _find_run(report) != crash.run]
+        self._own_reports = deque(kept, maxlen=MAX_OWN_REPORTS)
+        self._evidence.void_crash(crash)
+        self._wake()
+
     def _report_alive(self, crash: Crash, parts: tuple[Part, ...]) -> None:
         log_event("engine_alive", upstream=crash.upstream)
         self._broadcast(
@@ -407,9 +418,12 @@
     ) -> None:
         """Find out whether an engine crashed, unless it was leaving anyway."""
         is_leaving = upstream.removed_at is not None or not upstream.ready
-        if is_leaving or run in self._crashed_runs:
+        if is_leaving or any(_find_run(report) == run for _, report in self._own_reports):
             return
         parts = {part for parts in unanswered for part in parts}
+        if run in self._crashed_runs:  # another VM has found out
+            self._report_crash(self._crashed_runs[run][0], service, parts)
+            return
         known = self._checks.get(run)
         if known is not None:
             known |= parts
@@ -424,6 +438,9 @@
         if not has_ended:
             return
         self.on_crash(upstream)
+        self._report_crash(crash, service, parts)
+
+    def _report_crash(self, crash: Crash, service: str, parts: set[Part]) -> None:
         now = self._now()
         self._record_crash(crash, sorted(parts), now)
         report = CrashReport(
@@ -440,8 +457,9 @@
         self._reactor.callLater(REPEAT_S, self._repeat_report, now, report)
 
     def _repeat_report(self, crashed_at: float, report: CrashReport) -> None:
-        age_ms = int((self._now() - crashed_at) * 1000)
-        self._broadcast(msgspec.structs.replace(report, age_ms=age_ms))
+        if any(kept is report for _, kept in self._own_reports):  # else it was taken back
+            age_ms = int((self._now() - crashed_at) * 1000)
+            self._broadcast(msgspec.structs.replace(report, age_ms=age_ms))
 
     def _record_crash(self, crash: Crash, parts: list[Part], at: float) -> None:
         if crash.run not in self._crashed_runs:
--- a/tests/quarantine/deadly_parts.feature
+++ b/tests/quarantine/deadly_parts.feature
@@ -46,6 +46,14 @@
     Then it is suspected, and not convicted
     But it is convicted when an engine crashes under its probe later
 
+  Scenario: A VM hears of a crash before its own connections break
+    Given 2 VMs with requests at an engine that crashes, one of which notices it 0.3 seconds later
+    Then both VMs suspect the parts of both VMs' requests
+
+  Scenario: An engine crashes after a report of its crash was taken back
+    Given 2 VMs, of which one has taken its report of an engine's crash back
+    Then both report the parts of their requests when the engine crashes later
+
   Scenario: Suspicions and answers of a caller who invents parts are bounded in memory
     Given 20000 invented parts that were answered, and 20000 that crashed an engine
     Then at most 8192 and 1024 of them are remembered
--- a/tests/steps/quarantine_steps.py
+++ b/tests/steps/quarantine_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
 from typing import Any
 
 from behave import given
@@ -160,3 +161,82 @@
 def check_probe_crash(context: Any) -> None:
     context.evidence.record_crash(Crash(upstream="probed", born=1), [PART], 1.7)
     assert context.evidence.assess(PART, 5.0) is Verdict.CONVICTED
+
+
+class CrashingEngine:
+    """An engine, and VMs that each have a request with a part of their own at it."""
+
+    def __init__(self, vms: int) -> None:
+        self.run = SimulatedQuarantines(seed=1, vms=vms, engines=1, loss=0.0)
+        self.engine = self.run.engines[0]
+        self.parts = [Part(service=SERVICE, name=f"p{number}") for number in range(vms)]
+        self.jobs = [make_job(part, self.run.clock.seconds()) for part in self.parts]
+
+    def send(self) -> None:
+        for vm, job in zip(self.run.vms.values(), self.jobs, strict=True):
+            job.last_sent_at = self.run.clock.seconds()
+            vm.begin(job, self.engine)
+
+    def break_at(self, number: int) -> None:
+        """Let a VM notice that its connection broke."""
+        vm = list(self.run.vms.values())[number]
+        vm.end(self.jobs[number], self.engine, born=1, answered=False, broken=True)
+        self.run.clock.pump([STEP_S] * 60)
+
+    def read_suspects(self) -> list[set[Part]]:
+        now = self.run.clock.seconds()
+        return [set(vm._evidence.list_suspects(now)) for vm in self.run.vms.values()]
+
+
+def make_job(part: Part, now: float) -> Any:
+    return SimpleNamespace(
+        service=SERVICE,
+        generation=SimpleNamespace(prompt_parts=((part.name, 1), ("last", 1))),
+        connection=SimpleNamespace(disconnected=False),
+        last_sent_at=now,
+    )
+
+
+@given(
+    "{vms:d} VMs with requests at an engine that crashes, "
+    "one of which notices it {seconds:g} seconds later"
+)
+def make_late_vm(context: Any, vms: int, seconds: float) -> None:
+    context.crashing = CrashingEngine(vms)
+    context.crashing.send()
+    context.crashing.engine.alive = False
+    context.crashing.break_at(0)
+    assert seconds == 60 * STEP_S
+    context.crashing.break_at(1)
+
+
+@then("both VMs suspect the parts of both VMs' requests")
+def check_both(context: Any) -> None:
+    parts = set(context.crashing.parts)
+    assert context.crashing.read_suspects() == [parts, parts], context.crashing.read_suspects()
+
+
+@given("{vms:d} VMs, of which one has taken its report of an engine's crash back")
+def make_taken_back(context: Any, vms: int) -> None:
+    context.crashing = crashing = CrashingEngine(vms)
+    crashing.send()
+    crashing.engine.alive = False
+    crashing.break_at(0)
+    crashing.engine.alive = True
+    first = next(iter(crashing.run.vms.values()))
+    answered = make_job(Part(service=SERVICE, name="other"), crashing.run.clock.seconds())
+    first.begin(answered, crashing.engine)
+    first.end(answered, crashing.engine, born=1, answered=True, broken=False)
+    crashing.run.clock.pump([STEP_S] * 60)
+    assert crashing.read_suspects() == [set()] * vms
+
+
+@then("both report the parts of their requests when the engine crashes later")
+def check_later_crash(context: Any) -> None:
+    crashing = context.crashing
+    crashing.send()
+    crashing.engine.alive = False
+    crashing.break_at(1)
+    crashing.break_at(0)
+    parts = set(crashing.parts)
+    assert crashing.read_suspects() == [parts, parts], crashing.read_suspects()
