Call what the quarantine suspects a subject

Parts of prompts are not the only thing that crashes engines. Only names in the code change: Part is Subject, PartQuarantine is Quarantine; messages, log events, keys and the dump keep theirs.

--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -49,7 +49,7 @@
 from cactusshunt.platform.engine_calls import EngineCalls
 from cactusshunt.platform.store import PlatformStore
 from cactusshunt.quarantine.convicted_keys import CONVICTED_PREFIX
-from cactusshunt.quarantine.part_quarantine import PartQuarantine
+from cactusshunt.quarantine.quarantine import Quarantine
 from cactusshunt.ready_page import ReadyPage
 from cactusshunt.requests.caller_requests import CallerRequests
 from cactusshunt.requests.relay import Relay
@@ -166,7 +166,7 @@
             handle_demand=self._handle_demand,
             plan_now=self._plan_now,
         )
-        self._quarantine = PartQuarantine(
+        self._quarantine = Quarantine(
             reactor=reactor,
             vm=settings.node,
             pool=self._pool,
--- a/src/cactusshunt/node_state.py
+++ b/src/cactusshunt/node_state.py
@@ -22,7 +22,7 @@
     from cactusshunt.membership.membership_task import MembershipTask
     from cactusshunt.membership.peer_link import PeerLink
     from cactusshunt.placement.order_task import OrderTask
-    from cactusshunt.quarantine.part_quarantine import PartQuarantine
+    from cactusshunt.quarantine.quarantine import Quarantine
     from cactusshunt.requests.caller_requests import CallerRequests
     from cactusshunt.requests.retry_allowance import RetryAllowance
     from cactusshunt.requests.upstream_picker import UpstreamPicker
@@ -50,7 +50,7 @@
         era: StoreEra,
         view: PlatformView,
         version_check: VersionCheck,
-        quarantine: PartQuarantine,
+        quarantine: Quarantine,
     ) -> None:
         self._vm = vm
         self._clock = clock
--- a/src/cactusshunt/quarantine/__init__.py
+++ b/src/cactusshunt/quarantine/__init__.py
@@ -1,3 +1,3 @@
-"""Keeps parts of prompts that crash engines away from the engines."""
+"""Keeps what crashes engines away from the engines."""
 
 from __future__ import annotations
--- a/src/cactusshunt/quarantine/convicted_keys.py
+++ b/src/cactusshunt/quarantine/convicted_keys.py
@@ -8,7 +8,7 @@
 
 from cactusshunt.platform.documents import SYSTEM_PREFIX
 from cactusshunt.quarantine.crash_evidence import Conviction
-from cactusshunt.quarantine.crash_evidence import Part
+from cactusshunt.quarantine.crash_evidence import Subject
 
 CONVICTED_PREFIX = SYSTEM_PREFIX + "convicted/"
 
@@ -29,17 +29,17 @@
     vm: str
 
 
-def make_key(part: Part) -> str:
-    """Return the key of a part's conviction."""
-    return f"{CONVICTED_PREFIX}{quote(part.service, safe='')}/{quote(part.name, safe='')}"
+def make_key(subject: Subject) -> str:
+    """Return the key of a subject's conviction."""
+    return f"{CONVICTED_PREFIX}{quote(subject.service, safe='')}/{quote(subject.name, safe='')}"
 
 
 def encode_conviction(conviction: Conviction, *, vm: str, now: float, unix_s: float) -> bytes:
     """Return a conviction as a value of the store; ``vm`` is the writer."""
     return msgspec.json.encode(
         StoredConviction(
-            service=conviction.part.service,
-            part=conviction.part.name,
+            service=conviction.subject.service,
+            part=conviction.subject.name,
             engines=list(conviction.engines),
             versions=sorted(conviction.versions),
             written_at=unix_s,
@@ -61,7 +61,7 @@
         return None
     age_s = max(0.0, unix_s - stored.written_at)
     return Conviction(
-        part=Part(service=stored.service, name=stored.part),
+        subject=Subject(service=stored.service, name=stored.part),
         engines=tuple(stored.engines),
         versions=frozenset(stored.versions),
         last_crash_at=now - stored.crash_age_s - age_s,
--- a/src/cactusshunt/quarantine/crash_evidence.py
+++ b/src/cactusshunt/quarantine/crash_evidence.py
@@ -1,8 +1,8 @@
-"""Which parts of prompts are suspected of crashing engines.
+"""Which subjects, such as parts of prompts, are suspected of crashing engines.
 
-An engine that crashes leaves unanswered requests behind, with many parts of prompts: one of them
-may have crashed it, the others are shared with sound requests. A part on which an answer was
-completed since is sound. What remains through several crashes is convicted.
+An engine that crashes leaves unanswered requests behind, with many subjects: one of them may have
+crashed it, the others are shared with sound requests. A subject on which an answer was completed
+since is sound. What remains through several crashes is convicted.
 """
 
 from __future__ import annotations
@@ -17,21 +17,21 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# A part that no answer was ever completed on is suspected after the first crash. One that was
+# A subject that no answer was ever completed on is suspected after the first crash. One that was
 # sound before may have been at several engines that a common cause ended at the same moment.
 CRASHES_TO_SUSPECT, CRASHES_TO_CONVICT = 1, 3
 EPISODES_TO_SUSPECT, EPISODES_TO_CONVICT = 2, 4
 MIN_EPISODES_TO_CONVICT = 2  # a common cause may end any number of engines at once
 EPISODE_S = 0.5  # crashes within this time of the first one are one episode
-CONFIRMATION_S = 0.1  # in which peers tell that they had answers on the part, twice
+CONFIRMATION_S = 0.1  # in which peers tell that they had answers on the subject, twice
 SUSPICION_S = 600.0  # after the last crash
-CONVICTION_S = 600.0  # until one request may probe a part again
+CONVICTION_S = 600.0  # until one request may probe a subject again
 MAX_SOUND_PARTS = 8_192  # about 2 MB; the least recently completed ones are forgotten
 MAX_SUSPECTS = 1_024  # the least recently suspected ones are forgotten
 
 
 class Verdict(enum.IntEnum):
-    """What is to be done with requests that have a part; the larger value is the graver."""
+    """What is to be done with requests that have a subject; the larger value is the graver."""
 
     SOUND = 0
     SUSPECTED = 1  # one request at a time, over all VMs
@@ -39,8 +39,8 @@
 
 
 @dataclass(frozen=True, kw_only=True, order=True)
-class Part:
-    """A part of prompts to one service."""
+class Subject:
+    """What may crash the engines of a service: a part of prompts, named by its identifier."""
 
     service: str
     name: str
@@ -62,9 +62,9 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Conviction:
-    """A convicted part: engines that crashed, their software versions, and the conviction's end."""
+    """A convicted subject: engines that crashed, their software versions, its end."""
 
-    part: Part
+    subject: Subject
     engines: tuple[str, ...]
     versions: frozenset[str]
     last_crash_at: float
@@ -79,75 +79,75 @@
 class CrashEvidence:
     """Crashes, completed answers and convictions, as far as this VM knows them.
 
-    Times are reactor time in seconds. The number of parts that are remembered is bounded.
+    Times are reactor time in seconds. The number of subjects that are remembered is bounded.
     """
 
     def __init__(self) -> None:
-        self._completed: OrderedDict[Part, float] = OrderedDict()
-        self._suspects: OrderedDict[Part, _Suspect] = OrderedDict()
-        self.convictions: dict[Part, Conviction] = {}
+        self._completed: OrderedDict[Subject, float] = OrderedDict()
+        self._suspects: OrderedDict[Subject, _Suspect] = OrderedDict()
+        self.convictions: dict[Subject, Conviction] = {}
 
     @property
     def is_empty(self) -> bool:
-        """Return whether no part is suspected or convicted."""
+        """Return whether no subject is suspected or convicted."""
         return not self._suspects and not self.convictions
 
-    def record_crash(self, crash: Crash, parts: Iterable[Part], at: float) -> None:
-        """Record the parts of requests that an engine had not answered when it crashed."""
-        for part in parts:
-            suspect = self._suspects.setdefault(part, _Suspect())
+    def record_crash(self, crash: Crash, subjects: Iterable[Subject], at: float) -> None:
+        """Record the subjects of requests that an engine had not answered when it crashed."""
+        for subject in subjects:
+            suspect = self._suspects.setdefault(subject, _Suspect())
             suspect.crashes.setdefault(crash.run, (at, crash.version))
-            self._suspects.move_to_end(part)
+            self._suspects.move_to_end(subject)
             if len(self._suspects) > MAX_SUSPECTS:
                 self._suspects.popitem(last=False)
 
     def void_crash(self, crash: Crash) -> None:
         """Forget a crash, because the engine has answered a request that was sent later."""
-        for part in list(self._suspects):
-            self._suspects[part].crashes.pop(crash.run, None)
-            if not self._suspects[part].crashes:
-                del self._suspects[part]
-
-    def record_completion(self, part: Part, at: float) -> bool:
-        """Record a completed answer; return whether the part was suspected before."""
-        if at <= self._completed.get(part, float("-inf")):
+        for subject in list(self._suspects):
+            self._suspects[subject].crashes.pop(crash.run, None)
+            if not self._suspects[subject].crashes:
+                del self._suspects[subject]
+
+    def record_completion(self, subject: Subject, at: float) -> bool:
+        """Record a completed answer; return whether the subject was suspected before."""
+        if at <= self._completed.get(subject, float("-inf")):
             return False
-        self._completed[part] = at
-        self._completed.move_to_end(part)
+        self._completed[subject] = at
+        self._completed.move_to_end(subject)
         if len(self._completed) > MAX_SOUND_PARTS:
             self._completed.popitem(last=False)
-        suspect = self._suspects.get(part)
+        suspect = self._suspects.get(subject)
         if suspect is None:
             return False
         suspect.crashes = {run: found for run, found in suspect.crashes.items() if found[0] > at}
         if not suspect.crashes:
-            del self._suspects[part]
+            del self._suspects[subject]
         return True
 
-    def completed_at(self, part: Part) -> float | None:
-        """Return when an answer on a part was last completed, as far as it is remembered."""
-        return self._completed.get(part)
+    def completed_at(self, subject: Subject) -> float | None:
+        """Return when an answer on a subject was last completed, as far as it is remembered."""
+        return self._completed.get(subject)
 
     def convict(self, conviction: Conviction) -> None:
-        """Add a conviction; a known one of the part stays."""
-        self.convictions.setdefault(conviction.part, conviction)
-
-    def lift(self, part: Part) -> bool:
-        """Forget a conviction and all suspicion of a part; return whether it was convicted."""
-        self._suspects.pop(part, None)
-        return self.convictions.pop(part, None) is not None
-
-    def assess(self, part: Part, now: float) -> Verdict:
-        """Return the verdict on a part."""
-        crashes = self._list_crashes(part, now)
-        conviction = self.convictions.get(part)
+        """Add a conviction; a known one of the subject stays."""
+        self.convictions.setdefault(conviction.subject, conviction)
+
+    def lift(self, subject: Subject) -> bool:
+        """Forget a conviction and all suspicion of a subject; return whether it was convicted."""
+        self._suspects.pop(subject, None)
+        return self.convictions.pop(subject, None) is not None
+
+    def assess(self, subject: Subject, now: float) -> Verdict:
+        """Return the verdict on a subject."""
+        crashes = self._list_crashes(subject, now)
+        conviction = self.convictions.get(subject)
         if conviction is not None:
             probe_crashed = bool(crashes) and crashes[-1] >= conviction.ends_at
             is_over = now >= conviction.ends_at and not probe_crashed
             return Verdict.SUSPECTED if is_over else Verdict.CONVICTED
         if not crashes:
             return Verdict.SOUND
-        if part in self._completed:
+        if subject in self._completed:
             count = _count_episodes(crashes)
             to_suspect, to_convict = EPISODES_TO_SUSPECT, EPISODES_TO_CONVICT
         else:
@@ -159,37 +159,41 @@
             return Verdict.CONVICTED
         return Verdict.SUSPECTED if count >= to_suspect else Verdict.SOUND
 
-    def may_probe(self, part: Part, now: float) -> bool:
+    def may_probe(self, subject: Subject, now: float) -> bool:
         """Return whether a crash now would be another episode than the latest one."""
-        crashes = self._list_crashes(part, now)
+        crashes = self._list_crashes(subject, now)
         return not crashes or now >= crashes[-1] + EPISODE_S
 
-    def make_conviction(self, part: Part, now: float) -> Conviction:
-        """Return the conviction of a part from its crashes."""
-        crashes = self._suspects[part].crashes
+    def make_conviction(self, subject: Subject, now: float) -> Conviction:
+        """Return the conviction of a subject from its crashes."""
+        crashes = self._suspects[subject].crashes
         return Conviction(
-            part=part,
+            subject=subject,
             engines=tuple(sorted(upstream for upstream, _ in crashes)),
             versions=frozenset(version for _, version in crashes.values()),
             last_crash_at=max(at for at, _ in crashes.values()),
             ends_at=now + CONVICTION_S,
         )
 
-    def list_suspects(self, now: float) -> dict[Part, Verdict]:
-        """Return all parts that are not sound, with their verdicts."""
-        found = {part: self.assess(part, now) for part in [*self.convictions, *self._suspects]}
-        return {part: verdict for part, verdict in found.items() if verdict is not Verdict.SOUND}
-
-    def list_crashed_engines(self, part: Part) -> list[str]:
-        """Return the engines that crashed with a part since it was last sound."""
-        conviction = self.convictions.get(part)
+    def list_suspects(self, now: float) -> dict[Subject, Verdict]:
+        """Return all subjects that are not sound, with their verdicts."""
+        found = {
+            subject: self.assess(subject, now) for subject in [*self.convictions, *self._suspects]
+        }
+        return {
+            subject: verdict for subject, verdict in found.items() if verdict is not Verdict.SOUND
+        }
+
+    def list_crashed_engines(self, subject: Subject) -> list[str]:
+        """Return the engines that crashed with a subject since it was last sound."""
+        conviction = self.convictions.get(subject)
         if conviction is not None:
             return list(conviction.engines)
-        suspect = self._suspects.get(part)
+        suspect = self._suspects.get(subject)
         return sorted({upstream for upstream, _ in suspect.crashes}) if suspect else []
 
-    def _list_crashes(self, part: Part, now: float) -> list[float]:
-        suspect = self._suspects.get(part)
+    def _list_crashes(self, subject: Subject, now: float) -> list[float]:
+        suspect = self._suspects.get(subject)
         if suspect is None:
             return []
         return sorted(at for at, _ in suspect.crashes.values() if now < at + SUSPICION_S)
--- a/src/cactusshunt/quarantine/probe_claims.py
+++ b/src/cactusshunt/quarantine/probe_claims.py
@@ -1,6 +1,6 @@
-"""Which VM may send a request with a suspected part: one at a time over all VMs.
+"""Which VM may send a request with a suspected subject: one at a time over all VMs.
 
-A VM claims a part before it sends such a request and waits until a competing claim would have
+A VM claims a subject before it sends such a request and waits until a competing claim would have
 arrived. Of two claims at the same time the preferred VM's stands, which all VMs compute alike.
 """
 
@@ -12,7 +12,7 @@
 from cactusshunt.decisions.rendezvous import hash_score
 
 if TYPE_CHECKING:
-    from cactusshunt.quarantine.crash_evidence import Part
+    from cactusshunt.quarantine.crash_evidence import Subject
 
 SETTLE_S = 0.04  # two hops between availability zones, with a margin
 CLAIM_LIFETIME_S = 2.0  # of a claim that is not repeated
@@ -33,42 +33,42 @@
 
     def __init__(self, *, vm: str) -> None:
         self._vm = vm
-        self._claims: dict[Part, Claim] = {}
+        self._claims: dict[Subject, Claim] = {}
 
-    def claim(self, part: Part, now: float) -> bool:
-        """Claim a part for this VM; ``False`` if another VM has it."""
-        known = self._find(part, now)
+    def claim(self, subject: Subject, now: float) -> bool:
+        """Claim a subject for this VM; ``False`` if another VM has it."""
+        known = self._find(subject, now)
         if known is not None and known.vm != self._vm:
             return False
         settled_at = known.settled_at if known is not None else now + SETTLE_S
-        self._claims[part] = Claim(
+        self._claims[subject] = Claim(
             vm=self._vm, settled_at=settled_at, ends_at=now + CLAIM_LIFETIME_S
         )
         return True
 
-    def apply(self, vm: str, part: Part, now: float) -> None:
+    def apply(self, vm: str, subject: Subject, now: float) -> None:
         """Apply another VM's claim, unless that of a preferred VM stands."""
-        known = self._find(part, now)
-        if known is not None and known.vm != vm and not self._is_preferred(vm, known.vm, part):
+        known = self._find(subject, now)
+        if known is not None and known.vm != vm and not self._is_preferred(vm, known.vm, subject):
             return
-        self._claims[part] = Claim(vm=vm, settled_at=now, ends_at=now + CLAIM_LIFETIME_S)
+        self._claims[subject] = Claim(vm=vm, settled_at=now, ends_at=now + CLAIM_LIFETIME_S)
 
-    def release(self, vm: str, part: Part) -> None:
+    def release(self, vm: str, subject: Subject) -> None:
         """End a VM's claim."""
-        known = self._claims.get(part)
+        known = self._claims.get(subject)
         if known is not None and known.vm == vm:
-            del self._claims[part]
+            del self._claims[subject]
 
-    def holds(self, part: Part, now: float) -> bool:
-        """Return whether this VM may send a request with the part now."""
-        known = self._find(part, now)
+    def holds(self, subject: Subject, now: float) -> bool:
+        """Return whether this VM may send a request with the subject now."""
+        known = self._find(subject, now)
         return known is not None and known.vm == self._vm and now >= known.settled_at
 
-    def _find(self, part: Part, now: float) -> Claim | None:
-        known = self._claims.get(part)
+    def _find(self, subject: Subject, now: float) -> Claim | None:
+        known = self._claims.get(subject)
         if known is None or now >= known.ends_at:
             return None
         return known
 
-    def _is_preferred(self, vm: str, other: str, part: Part) -> bool:
-        return hash_score(vm, part.name) > hash_score(other, part.name)
+    def _is_preferred(self, vm: str, other: str, subject: Subject) -> bool:
+        return hash_score(vm, subject.name) > hash_score(other, subject.name)
--- a/src/cactusshunt/quarantine/part_quarantine.py
+++ b/src/cactusshunt/quarantine/quarantine.py
@@ -1,4 +1,4 @@
-"""Keeps requests with parts of prompts that crash engines away from the engines.
+"""Keeps requests that crash engines away from the engines.
 
 While no engine crashes, nothing is sent and requests pass at once (see docs/design/quarantine.md).
 """
@@ -35,7 +35,7 @@
 from cactusshunt.quarantine.crash_evidence import Conviction
 from cactusshunt.quarantine.crash_evidence import Crash
 from cactusshunt.quarantine.crash_evidence import CrashEvidence
-from cactusshunt.quarantine.crash_evidence import Part
+from cactusshunt.quarantine.crash_evidence import Subject
 from cactusshunt.quarantine.crash_evidence import Verdict
 from cactusshunt.quarantine.probe_claims import CLAIM_REPEAT_S
 from cactusshunt.quarantine.probe_claims import SETTLE_S
@@ -59,7 +59,7 @@
 MAX_NAME_LENGTH = 64
 MAX_PARTS_PER_REPORT = 200  # keeps a datagram below 16 KB
 MAX_LISTED = 8  # names in one log line
-MAX_HOLD_S = 1.0  # a request waits this long until another one with the part is answered
+MAX_HOLD_S = 1.0  # a request waits this long until another one with the subject is answered
 RETRY_AFTER_S = 0.5  # most answers are complete by then
 REPEAT_S = 0.15  # reports are sent twice, because datagrams may be lost
 MAX_REPLY_DELAY_S = 0.03  # the first VM that knows of an answer tells the others
@@ -85,7 +85,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ReportedCompletion:
-    """When an answer on a part was completed, and when this VM sent or received the last report."""
+    """When an answer on a subject was completed, and when this VM sent or got the last report."""
 
     at: float = float("-inf")
     heard_at: float = float("-inf")
@@ -94,19 +94,19 @@
 NO_REPORT = ReportedCompletion()
 
 
-def list_parts(job: Job) -> tuple[Part, ...]:
+def list_subjects(job: Job) -> tuple[Subject, ...]:
     """Return the parts of a request's prompt that other requests may share: all but the last."""
     if job.generation is None:
         return ()
     names = [name[:MAX_NAME_LENGTH] for name, _ in job.generation.prompt_parts[:-1]]
-    return tuple(Part(service=job.service, name=name) for name in names[:MAX_PARTS_PER_REQUEST])
+    return tuple(Subject(service=job.service, name=name) for name in names[:MAX_PARTS_PER_REQUEST])
 
 
 def _find_run(report: CrashReport) -> tuple[str, int]:
     return report.upstream, report.born
 
 
-class PartQuarantine:
+class Quarantine:
     """Admits requests, gathers evidence from their ends, and shares it with the other VMs.
 
     ``on_crash`` is called with an engine that was found to have crashed.
@@ -131,15 +131,15 @@
         self._random = random.Random()
         self._evidence = CrashEvidence()
         self._claims = ProbeClaims(vm=vm)
-        self._probes: dict[Part, Job] = {}
-        self._outstanding: defaultdict[tuple[str, int], dict[int, tuple[Part, ...]]] = defaultdict(
-            dict
+        self._probes: dict[Subject, Job] = {}
+        self._outstanding: defaultdict[tuple[str, int], dict[int, tuple[Subject, ...]]] = (
+            defaultdict(dict)
         )
-        self._checks: dict[tuple[str, int], set[Part]] = {}
+        self._checks: dict[tuple[str, int], set[Subject]] = {}
         self._crashed_runs: OrderedDict[tuple[str, int], tuple[Crash, float]] = OrderedDict()
         self._own_reports: deque[tuple[float, CrashReport]] = deque(maxlen=MAX_OWN_REPORTS)
-        self._reported_completions: OrderedDict[Part, ReportedCompletion] = OrderedDict()
-        self._stored: set[Part] = set()
+        self._reported_completions: OrderedDict[Subject, ReportedCompletion] = OrderedDict()
+        self._stored: set[Subject] = set()
         self._waiting: list[Deferred[None]] = []
         self._known_peers: frozenset[str] = frozenset()
         self.on_crash: Callable[[Upstream], None] = lambda upstream: None
@@ -152,11 +152,13 @@
         hold_ends_at = min(job.deadline, self._now() + hold_s)
         while not job.done and not job.connection.disconnected:
             now = self._now()
-            verdicts = {part: self._assess(part, now) for part in list_parts(job)}
+            verdicts = {subject: self._assess(subject, now) for subject in list_subjects(job)}
             if Verdict.CONVICTED in verdicts.values():
                 self.release(job)
                 return Block(reason="a part of the prompt crashes engines")
-            suspects = [part for part, found in verdicts.items() if found is Verdict.SUSPECTED]
+            suspects = [
+                subject for subject, found in verdicts.items() if found is Verdict.SUSPECTED
+            ]
             if self._claim(job, sorted(suspects), now):
                 return None
             if now >= hold_ends_at:
@@ -172,9 +174,9 @@
         if self._evidence.is_empty:
             return True
         now = self._now()
-        for part in list_parts(job):
-            verdict = self._assess(part, now)
-            is_probe = self._probes.get(part) is job and self._claims.holds(part, now)
+        for subject in list_subjects(job):
+            verdict = self._assess(subject, now)
+            is_probe = self._probes.get(subject) is job and self._claims.holds(subject, now)
             if verdict is Verdict.CONVICTED or (verdict is Verdict.SUSPECTED and not is_probe):
                 return False
         return True
@@ -183,7 +185,7 @@
         """Record that a request is sent to an upstream."""
         if job.generation is not None:
             run = (upstream.name, upstream.entry.born)
-            self._outstanding[run][id(job)] = list_parts(job)
+            self._outstanding[run][id(job)] = list_subjects(job)
 
     def end(self, job: Job, upstream: Upstream, *, born: int, answered: bool, broken: bool) -> None:
         """Record the end of an attempt at the run of an upstream that ``born`` identifies.
@@ -194,22 +196,22 @@
             return
         run = (upstream.name, born)
         outstanding = self._outstanding[run]
-        parts = outstanding.pop(id(job), ())
+        subjects = outstanding.pop(id(job), ())
         if answered:
-            self._record_answer(run, parts, job.last_sent_at or 0.0)
+            self._record_answer(run, subjects, job.last_sent_at or 0.0)
         elif broken:
-            self._check_crash(upstream, run, job.service, [*outstanding.values(), parts])
+            self._check_crash(upstream, run, job.service, [*outstanding.values(), subjects])
         if not outstanding:
             self._outstanding.pop(run, None)
 
     def release(self, job: Job) -> None:
         """End the claims of a request that is done."""
-        released = [part for part, probe in self._probes.items() if probe is job]
-        for part in released:
-            del self._probes[part]
-            self._claims.release(self._vm, part)
+        released = [subject for subject, probe in self._probes.items() if probe is job]
+        for subject in released:
+            del self._probes[subject]
+            self._claims.release(self._vm, subject)
         if released:
-            names = [part.name for part in released]
+            names = [subject.name for subject in released]
             self._broadcast(PartReport(vm=self._vm, service=job.service, released=names))
             self._wake()
 
@@ -224,42 +226,42 @@
         if report.alive:
             self._void_crash(crash)
             return
-        parts = [Part(service=report.service, name=name) for name in report.parts]
-        self._record_crash(crash, parts, self._now() - report.age_ms / 1000.0)
+        subjects = [Subject(service=report.service, name=name) for name in report.parts]
+        self._record_crash(crash, subjects, self._now() - report.age_ms / 1000.0)
         delay_s = self._random.uniform(0.0, MAX_REPLY_DELAY_S)
-        self._reactor.callLater(delay_s, self._report_completions, parts)
+        self._reactor.callLater(delay_s, self._report_completions, subjects)
 
     @apply_message.register
-    def _apply_part_report(self, report: PartReport) -> None:
+    def _apply_subject_report(self, report: PartReport) -> None:
         now = self._now()
         for name, age_ms in report.completed.items():
-            part = Part(service=report.service, name=name)
-            self._remember_report(part, now - age_ms / 1000.0)
-            self._record_completion(part, now - age_ms / 1000.0)
-        questioned = [Part(service=report.service, name=name) for name in report.questioned]
+            subject = Subject(service=report.service, name=name)
+            self._remember_report(subject, now - age_ms / 1000.0)
+            self._record_completion(subject, now - age_ms / 1000.0)
+        questioned = [Subject(service=report.service, name=name) for name in report.questioned]
         if questioned:
             delay_s = self._random.uniform(0.0, MAX_REPLY_DELAY_S)
             self._reactor.callLater(delay_s, self._answer_question, questioned, now)
         for name in report.claimed:
-            part = Part(service=report.service, name=name)
-            self._claims.apply(report.vm, part, now)
+            subject = Subject(service=report.service, name=name)
+            self._claims.apply(report.vm, subject, now)
         for name in report.released:
-            self._claims.release(report.vm, Part(service=report.service, name=name))
+            self._claims.release(report.vm, Subject(service=report.service, name=name))
         self._wake()
 
     @apply_message.register
     def _apply_conviction(self, message: ConvictedPart) -> None:
         now = self._now()
-        part = Part(service=message.service, name=message.part)
+        subject = Subject(service=message.service, name=message.part)
         conviction = Conviction(
-            part=part,
+            subject=subject,
             engines=tuple(message.engines),
             versions=frozenset(message.versions),
             last_crash_at=now - message.crash_age_ms / 1000.0,
             ends_at=now + message.left_ms / 1000.0,
         )
         if self._is_refuted(conviction):
-            self._report_completions([part], again=True)
+            self._report_completions([subject], again=True)
             return
         if self._add_conviction(conviction, source=message.vm):
             self._write_later(conviction)
@@ -274,17 +276,17 @@
             log_event("record_unreadable", key=item.key)
             return
         if self._is_refuted(conviction):
-            start_coroutine(self._remove(conviction.part))
+            start_coroutine(self._remove(conviction.subject))
             return
-        self._stored.add(conviction.part)
+        self._stored.add(conviction.subject)
         self._add_conviction(conviction, source=STORE)
 
     def lift(self, service: str, name: str) -> bool:
         """Lift a conviction for all VMs; return whether there was one."""
-        part = Part(service=service, name=name)
-        if not self._lift(part, "an operator lifted it"):
+        subject = Subject(service=service, name=name)
+        if not self._lift(subject, "an operator lifted it"):
             return False
-        start_coroutine(self._remove(part))
+        start_coroutine(self._remove(subject))
         return True
 
     def tick(self) -> None:
@@ -294,96 +296,100 @@
         new_peers, self._known_peers = peers - self._known_peers, peers
         if new_peers and not self._evidence.is_empty:
             self._inform(sorted(new_peers), now)
-        for part, conviction in list(self._evidence.convictions.items()):
+        for subject, conviction in list(self._evidence.convictions.items()):
             if now > conviction.ends_at + SUSPICION_S:
-                self._lift(part, "it ended")
-                if self._rank(part) == 0:
-                    start_coroutine(self._remove(part))
+                self._lift(subject, "it ended")
+                if self._rank(subject) == 0:
+                    start_coroutine(self._remove(subject))
 
     def describe(self, now: float) -> list[dict[str, Any]]:
-        """Return the suspected and convicted parts, for the state dump."""
+        """Return the suspected and convicted subjects, for the state dump."""
         return [
             {
-                "service": part.service,
-                "part": part.name,
+                "service": subject.service,
+                "part": subject.name,
                 "verdict": verdict.name.lower(),
-                "crashed": self._evidence.list_crashed_engines(part),
+                "crashed": self._evidence.list_crashed_engines(subject),
                 "left_s": (
-                    round(self._evidence.convictions[part].ends_at - now, 1)
-                    if part in self._evidence.convictions
+                    round(self._evidence.convictions[subject].ends_at - now, 1)
+                    if subject in self._evidence.convictions
                     else None
                 ),
             }
-            for part, verdict in self._evidence.list_suspects(now).items()
+            for subject, verdict in self._evidence.list_suspects(now).items()
         ]
 
-    def _assess(self, part: Part, now: float) -> Verdict:
-        """Return the verdict; a new software version of all upstreams makes a part probed again."""
-        verdict = self._evidence.assess(part, now)
+    def _assess(self, subject: Subject, now: float) -> Verdict:
+        """Return the verdict; new software of all upstreams makes a subject probed again."""
+        verdict = self._evidence.assess(subject, now)
         if verdict is not Verdict.CONVICTED:
             return verdict
-        conviction = self._evidence.convictions.get(part)
+        conviction = self._evidence.convictions.get(subject)
         if conviction is None:
             return verdict
-        versions = {str(found.entry.version) for found in self._directory.of_service(part.service)}
+        versions = {
+            str(found.entry.version) for found in self._directory.of_service(subject.service)
+        }
         replaced = bool(versions) and not versions & conviction.versions
         return Verdict.SUSPECTED if replaced else verdict
 
-    def _claim(self, job: Job, parts: list[Part], now: float) -> bool:
-        """Claim parts for a request; return whether all claims hold."""
-        if not all(self._evidence.may_probe(part, now) for part in parts):
+    def _claim(self, job: Job, subjects: list[Subject], now: float) -> bool:
+        """Claim subjects for a request; return whether all claims hold."""
+        if not all(self._evidence.may_probe(subject, now) for subject in subjects):
             return False
         claimed = []
-        for part in parts:
-            probe = self._probes.get(part)
+        for subject in subjects:
+            probe = self._probes.get(subject)
             if probe is not None and probe is not job:
                 return False
-            if not self._claims.claim(part, now):
-                self._probes.pop(part, None)
+            if not self._claims.claim(subject, now):
+                self._probes.pop(subject, None)
                 return False
-            self._probes[part] = job
+            self._probes[subject] = job
             if probe is None:
-                claimed.append(part)
+                claimed.append(subject)
         if claimed:
             self._announce_claims(job, claimed)
-        return all(self._claims.holds(part, now) for part in parts)
+        return all(self._claims.holds(subject, now) for subject in subjects)
 
-    def _announce_claims(self, job: Job, parts: list[Part]) -> None:
-        names = [part.name for part in parts]
+    def _announce_claims(self, job: Job, subjects: list[Subject]) -> None:
+        names = [subject.name for subject in subjects]
         self._broadcast(PartReport(vm=self._vm, service=job.service, claimed=names))
-        self._reactor.callLater(CLAIM_REPEAT_S, self._repeat_claims, job, parts)
+        self._reactor.callLater(CLAIM_REPEAT_S, self._repeat_claims, job, subjects)
 
-    def _repeat_claims(self, job: Job, parts: list[Part]) -> None:
-        kept = [part for part in parts if self._probes.get(part) is job]
-        for part in kept:
-            self._claims.claim(part, self._now())
+    def _repeat_claims(self, job: Job, subjects: list[Subject]) -> None:
+        kept = [subject for subject in subjects if self._probes.get(subject) is job]
+        for subject in kept:
+            self._claims.claim(subject, self._now())
         if kept:
             self._announce_claims(job, kept)
 
-    def _record_answer(self, run: tuple[str, int], parts: tuple[Part, ...], sent_at: float) -> None:
+    def _record_answer(
+        self, run: tuple[str, int], subjects: tuple[Subject, ...], sent_at: float
+    ) -> None:
         now = self._now()
         crashed = self._crashed_runs.get(run)
         if crashed is not None and sent_at > crashed[1]:
             self._void_crash(crashed[0])
-            self._report_alive(crashed[0], parts)
-        suspected = [part for part in parts if self._record_completion(part, now)]
+            self._report_alive(crashed[0], subjects)
+        suspected = [subject for subject in subjects if self._record_completion(subject, now)]
         if suspected:
             self._report_completions(suspected)
             self._wake()
 
-    def _record_completion(self, part: Part, at: float) -> bool:
-        """Record a completed answer; return whether the part was suspected or convicted."""
-        was_suspected = self._evidence.record_completion(part, at)
-        conviction = self._evidence.convictions.get(part)
+    def _record_completion(self, subject: Subject, at: float) -> bool:
+        """Record a completed answer; return whether the subject was suspected or convicted."""
+        was_suspected = self._evidence.record_completion(subject, at)
+        conviction = self._evidence.convictions.get(subject)
         if conviction is None or not self._is_refuted(conviction):
             return was_suspected
-        self._lift(part, "an answer was completed")
-        start_coroutine(self._remove(part))
+        self._lift(subject, "an answer was completed")
+        start_coroutine(self._remove(subject))
         return True
 
     def _is_refuted(self, conviction: Conviction) -> bool:
-        """Return whether an answer on a part was completed after the crashes."""
-        completed_at = self._evidence.completed_at(conviction.part)
+        """Return whether an answer on a subject was completed after the crashes."""
+        completed_at = self._evidence.completed_at(conviction.subject)
         return completed_at is not None and completed_at > conviction.last_crash_at
 
     def _void_crash(self, crash: Crash) -> None:
@@ -394,12 +400,12 @@
         self._evidence.void_crash(crash)
         self._wake()
 
-    def _report_alive(self, crash: Crash, parts: tuple[Part, ...]) -> None:
+    def _report_alive(self, crash: Crash, subjects: tuple[Subject, ...]) -> None:
         log_event("engine_alive", upstream=crash.upstream)
         self._broadcast(
             CrashReport(
                 vm=self._vm,
-                service=parts[0].service if parts else "",
+                service=subjects[0].service if subjects else "",
                 upstream=crash.upstream,
                 born=crash.born,
                 version=crash.version,
@@ -414,35 +420,35 @@
         upstream: Upstream,
         run: tuple[str, int],
         service: str,
-        unanswered: Iterable[tuple[Part, ...]],
+        unanswered: Iterable[tuple[Subject, ...]],
     ) -> None:
         """Find out whether an engine crashed, unless it was leaving anyway."""
         is_leaving = upstream.removed_at is not None or not upstream.ready
         if is_leaving or any(_find_run(report) == run for _, report in self._own_reports):
             return
-        parts = {part for parts in unanswered for part in parts}
+        subjects = {subject for subjects in unanswered for subject in subjects}
         if run in self._crashed_runs:  # another VM has found out
-            self._report_crash(self._crashed_runs[run][0], service, parts)
+            self._report_crash(self._crashed_runs[run][0], service, subjects)
             return
         known = self._checks.get(run)
         if known is not None:
-            known |= parts
+            known |= subjects
             return
-        self._checks[run] = parts
+        self._checks[run] = subjects
         crash = Crash(upstream=run[0], born=run[1], version=str(upstream.entry.version))
         start_coroutine(self._confirm_crash(upstream, crash, service))
 
     async def _confirm_crash(self, upstream: Upstream, crash: Crash, service: str) -> None:
         has_ended = await has_crashed(self._reactor, self._pool, upstream.address)
-        parts = self._checks.pop(crash.run)
+        subjects = self._checks.pop(crash.run)
         if not has_ended:
             return
         self.on_crash(upstream)
-        self._report_crash(crash, service, parts)
+        self._report_crash(crash, service, subjects)
 
-    def _report_crash(self, crash: Crash, service: str, parts: set[Part]) -> None:
+    def _report_crash(self, crash: Crash, service: str, subjects: set[Subject]) -> None:
         now = self._now()
-        self._record_crash(crash, sorted(parts), now)
+        self._record_crash(crash, sorted(subjects), now)
         report = CrashReport(
             vm=self._vm,
             service=service,
@@ -450,7 +456,7 @@
             born=crash.born,
             version=crash.version,
             age_ms=0,
-            parts=[part.name for part in sorted(parts)][:MAX_PARTS_PER_REPORT],
+            parts=[subject.name for subject in sorted(subjects)][:MAX_PARTS_PER_REPORT],
         )
         self._own_reports.append((now, report))
         self._broadcast(report)
@@ -461,70 +467,70 @@
             age_ms = int((self._now() - crashed_at) * 1000)
             self._broadcast(msgspec.structs.replace(report, age_ms=age_ms))
 
-    def _record_crash(self, crash: Crash, parts: list[Part], at: float) -> None:
+    def _record_crash(self, crash: Crash, subjects: list[Subject], at: float) -> None:
         if crash.run not in self._crashed_runs:
             log_event(
                 "engine_crashed",
                 upstream=crash.upstream,
                 version=crash.version,
-                parts=[part.name for part in parts[:MAX_LISTED]],
+                parts=[subject.name for subject in subjects[:MAX_LISTED]],
             )
             self._crashed_runs[crash.run] = (crash, at)
             if len(self._crashed_runs) > MAX_RUNS:
                 self._crashed_runs.popitem(last=False)
-        self._evidence.record_crash(crash, parts, at)
-        accused = [part for part in parts if self._is_accused(part)]
+        self._evidence.record_crash(crash, subjects, at)
+        accused = [subject for subject in subjects if self._is_accused(subject)]
         if accused:
             self._question(accused)
             self._reactor.callLater(CONFIRMATION_S / 2.0, self._question, accused)
             self._reactor.callLater(CONFIRMATION_S + MAX_REPLY_DELAY_S, self._convict, accused)
         self._wake()
 
-    def _is_accused(self, part: Part) -> bool:
-        """Return whether a part is to be convicted if no VM had an answer on it."""
+    def _is_accused(self, subject: Subject) -> bool:
+        """Return whether a subject is to be convicted if no VM had an answer on it."""
         later = self._now() + CONFIRMATION_S
-        known = self._evidence.convictions.get(part)
+        known = self._evidence.convictions.get(subject)
         if known is not None and later < known.ends_at:
             return False
-        return self._evidence.assess(part, later) is Verdict.CONVICTED
+        return self._evidence.assess(subject, later) is Verdict.CONVICTED
 
-    def _question(self, parts: list[Part]) -> None:
-        """Ask the other VMs for answers on parts."""
-        accused = [part for part in parts if self._is_accused(part)]
+    def _question(self, subjects: list[Subject]) -> None:
+        """Ask the other VMs for answers on subjects."""
+        accused = [subject for subject in subjects if self._is_accused(subject)]
         by_service: defaultdict[str, list[str]] = defaultdict(list)
-        for part in accused:
-            by_service[part.service].append(part.name)
+        for subject in accused:
+            by_service[subject.service].append(subject.name)
         for service, names in by_service.items():
             self._broadcast(PartReport(vm=self._vm, service=service, questioned=names))
 
-    def _convict(self, parts: list[Part]) -> None:
-        """Convict the parts on which no VM had an answer."""
+    def _convict(self, subjects: list[Subject]) -> None:
+        """Convict the subjects on which no VM had an answer."""
         now = self._now()
-        for part in parts:
-            if not self._is_accused(part):
+        for subject in subjects:
+            if not self._is_accused(subject):
                 continue
-            self._evidence.convictions.pop(part, None)
-            conviction = self._evidence.make_conviction(part, now)
+            self._evidence.convictions.pop(subject, None)
+            conviction = self._evidence.make_conviction(subject, now)
             if self._add_conviction(conviction, source=self._vm):
                 self._send_conviction(conviction)
                 self._write_later(conviction)
 
     def _add_conviction(self, conviction: Conviction, source: str) -> bool:
         """Add a conviction; return whether it is new."""
-        part = conviction.part
-        known = self._evidence.convictions.get(part)
+        subject = conviction.subject
+        known = self._evidence.convictions.get(subject)
         if known is not None and known.ends_at >= conviction.ends_at - KNOWN_COMPLETION_S:
             return False
-        self._evidence.convictions.pop(part, None)
+        self._evidence.convictions.pop(subject, None)
         if source != STORE:
-            self._stored.discard(part)
+            self._stored.discard(subject)
         self._evidence.convict(conviction)
         while len(self._evidence.convictions) > MAX_CONVICTIONS:
             del self._evidence.convictions[next(iter(self._evidence.convictions))]
         log_event(
             "part_convicted",
-            service=part.service,
-            part=part.name,
+            service=subject.service,
+            part=subject.name,
             engines=list(conviction.engines[:MAX_LISTED]),
             versions=sorted(conviction.versions),
             left_s=round(conviction.ends_at - self._now(), 1),
@@ -539,8 +545,8 @@
     def _describe_conviction(self, conviction: Conviction) -> ConvictedPart:
         return ConvictedPart(
             vm=self._vm,
-            service=conviction.part.service,
-            part=conviction.part.name,
+            service=conviction.subject.service,
+            part=conviction.subject.name,
             engines=list(conviction.engines[:MAX_LISTED]),
             versions=sorted(conviction.versions),
             left_ms=int(max(0.0, conviction.ends_at - self._now()) * 1000),
@@ -549,12 +555,12 @@
 
     def _write_later(self, conviction: Conviction) -> None:
         """Write a conviction into the store, after VMs that are preferred for it."""
-        rank_delay_s = min(MAX_STORE_DELAY_S, self._rank(conviction.part) * STORE_RANK_DELAY_S)
+        rank_delay_s = min(MAX_STORE_DELAY_S, self._rank(conviction.subject) * STORE_RANK_DELAY_S)
         self._reactor.callLater(STORE_DELAY_S + rank_delay_s, self._start_write, conviction)
 
     def _start_write(self, conviction: Conviction) -> None:
-        is_current = self._evidence.convictions.get(conviction.part) is conviction
-        if is_current and conviction.part not in self._stored:
+        is_current = self._evidence.convictions.get(conviction.subject) is conviction
+        if is_current and conviction.subject not in self._stored:
             start_coroutine(self._write(conviction))
 
     async def _write(self, conviction: Conviction) -> None:
@@ -564,65 +570,65 @@
             await self._store.commit(
                 expected={},
                 puts={},
-                unleased_puts={make_key(conviction.part): value},
+                unleased_puts={make_key(conviction.subject): value},
                 deadline=now + STORE_TIMEOUT_S,
             )
         except StoreError as error:
-            log_event("conviction_unwritten", part=conviction.part.name, reason=error.reason)
+            log_event("conviction_unwritten", part=conviction.subject.name, reason=error.reason)
 
-    async def _remove(self, part: Part) -> None:
+    async def _remove(self, subject: Subject) -> None:
         try:
             await self._store.commit(
                 expected={},
                 puts={},
-                removals=[make_key(part)],
+                removals=[make_key(subject)],
                 deadline=self._now() + STORE_TIMEOUT_S,
             )
         except StoreError as error:
-            log_event("conviction_unwritten", part=part.name, reason=error.reason)
+            log_event("conviction_unwritten", part=subject.name, reason=error.reason)
 
     def _apply_removal(self, item: StoredItem) -> None:
-        self._stored = {part for part in self._stored if make_key(part) != item.key}
-        for part, conviction in list(self._evidence.convictions.items()):
-            if make_key(part) != item.key:
+        self._stored = {subject for subject in self._stored if make_key(subject) != item.key}
+        for subject, conviction in list(self._evidence.convictions.items()):
+            if make_key(subject) != item.key:
                 continue
             if item.from_copy:
                 self._write_later(conviction)
             else:
-                self._lift(part, "it was removed from the store")
+                self._lift(subject, "it was removed from the store")
 
-    def _lift(self, part: Part, reason: str) -> bool:
-        if not self._evidence.lift(part):
+    def _lift(self, subject: Subject, reason: str) -> bool:
+        if not self._evidence.lift(subject):
             return False
-        log_event("part_lifted", service=part.service, part=part.name, reason=reason)
+        log_event("part_lifted", service=subject.service, part=subject.name, reason=reason)
         self._wake()
         return True
 
-    def _report_completions(self, parts: Iterable[Part], *, again: bool = False) -> None:
+    def _report_completions(self, subjects: Iterable[Subject], *, again: bool = False) -> None:
         """Tell the other VMs of completed answers that they may not know of, or all ``again``."""
         now = self._now()
         by_service: defaultdict[str, dict[str, int]] = defaultdict(dict)
-        for part in parts:
-            at = self._evidence.completed_at(part)
-            known_at = self._reported_completions.get(part, NO_REPORT).at
+        for subject in subjects:
+            at = self._evidence.completed_at(subject)
+            known_at = self._reported_completions.get(subject, NO_REPORT).at
             if at is not None and (again or at > known_at + KNOWN_COMPLETION_S):
-                self._remember_report(part, at)
-                by_service[part.service][part.name] = int((now - at) * 1000)
+                self._remember_report(subject, at)
+                by_service[subject.service][subject.name] = int((now - at) * 1000)
         for service, completed in by_service.items():
             self._broadcast(PartReport(vm=self._vm, service=service, completed=completed))
 
-    def _answer_question(self, parts: list[Part], asked_at: float) -> None:
-        """Report answers on parts, unless another VM has since the question."""
+    def _answer_question(self, subjects: list[Subject], asked_at: float) -> None:
+        """Report answers on subjects, unless another VM has since the question."""
         unanswered = [
-            part
-            for part in parts
-            if self._reported_completions.get(part, NO_REPORT).heard_at < asked_at
+            subject
+            for subject in subjects
+            if self._reported_completions.get(subject, NO_REPORT).heard_at < asked_at
         ]
         self._report_completions(unanswered, again=True)
 
-    def _remember_report(self, part: Part, at: float) -> None:
-        self._reported_completions[part] = ReportedCompletion(at=at, heard_at=self._now())
-        self._reported_completions.move_to_end(part)
+    def _remember_report(self, subject: Subject, at: float) -> None:
+        self._reported_completions[subject] = ReportedCompletion(at=at, heard_at=self._now())
+        self._reported_completions.move_to_end(subject)
         if len(self._reported_completions) > MAX_PARTS_PER_REPORT:
             self._reported_completions.popitem(last=False)
 
@@ -634,8 +640,8 @@
         for conviction in self._evidence.convictions.values():
             self._link.send(self._describe_conviction(conviction), peers)
 
-    def _rank(self, part: Part) -> int:
-        return rank_nodes([self._vm, *self._link.peers], part.name).index(self._vm)
+    def _rank(self, subject: Subject) -> int:
+        return rank_nodes([self._vm, *self._link.peers], subject.name).index(self._vm)
 
     def _broadcast(self, message: Broadcast) -> None:
         self._link.broadcast(message)
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -30,8 +30,8 @@
     from cactusshunt.http1.connection_pool import ConnectionPool
     from cactusshunt.http1.upstream_connection import UpstreamConnection
     from cactusshunt.limits.request_limits import RequestLimits
-    from cactusshunt.quarantine.part_quarantine import Block
-    from cactusshunt.quarantine.part_quarantine import PartQuarantine
+    from cactusshunt.quarantine.quarantine import Block
+    from cactusshunt.quarantine.quarantine import Quarantine
     from cactusshunt.requests.admission import Refusal
     from cactusshunt.requests.job import Job
     from cactusshunt.requests.retry_allowance import RetryAllowance
@@ -60,7 +60,7 @@
         picker: UpstreamPicker,
         allowance: RetryAllowance,
         limits: RequestLimits,
-        quarantine: PartQuarantine,
+        quarantine: Quarantine,
     ) -> None:
         self._reactor = reactor
         self._pool = pool
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -25,7 +25,7 @@
 from cactusshunt.membership.messages import UpstreamLimit
 from cactusshunt.membership.messages import UpstreamPermits
 from cactusshunt.membership.messages import encode_message
-from cactusshunt.quarantine.part_quarantine import PartQuarantine
+from cactusshunt.quarantine.quarantine import Quarantine
 from cactusshunt.requests.answer_sink import AnswerSink
 from cactusshunt.requests.relay import Relay
 from cactusshunt.requests.retry_allowance import RetryAllowance
@@ -205,7 +205,7 @@
         picker=vm.picker,
         allowance=RetryAllowance(ratio=0.2, window_s=10.0, spare=10.0, started_at=0.0),
         limits=vm.limits,
-        quarantine=PartQuarantine(
+        quarantine=Quarantine(
             reactor=vm.reactor,
             vm="vm0",
             pool=pool,
--- a/tests/steps/quarantine_steps.py
+++ b/tests/steps/quarantine_steps.py
@@ -19,10 +19,10 @@
 from cactusshunt.quarantine.crash_evidence import MAX_SUSPECTS
 from cactusshunt.quarantine.crash_evidence import Crash
 from cactusshunt.quarantine.crash_evidence import CrashEvidence
-from cactusshunt.quarantine.crash_evidence import Part
+from cactusshunt.quarantine.crash_evidence import Subject
 from cactusshunt.quarantine.crash_evidence import Verdict
 
-PART = Part(service=SERVICE, name=DEADLY_PART)
+PART = Subject(service=SERVICE, name=DEADLY_PART)
 NEVER = 1e9
 
 
@@ -131,8 +131,8 @@
 def make_invented(context: Any, answered: int, crashed: int) -> None:
     context.evidence = CrashEvidence()
     for number in range(answered):
-        context.evidence.record_completion(Part(service=SERVICE, name=f"a{number}"), 1.0)
-    parts = [Part(service=SERVICE, name=f"c{number}") for number in range(crashed)]
+        context.evidence.record_completion(Subject(service=SERVICE, name=f"a{number}"), 1.0)
+    parts = [Subject(service=SERVICE, name=f"c{number}") for number in range(crashed)]
     context.evidence.record_crash(Crash(upstream="e1", born=1), parts, 2.0)
 
 
@@ -169,7 +169,7 @@
     def __init__(self, vms: int) -> None:
         self.run = SimulatedQuarantines(seed=1, vms=vms, engines=1, loss=0.0)
         self.engine = self.run.engines[0]
-        self.parts = [Part(service=SERVICE, name=f"p{number}") for number in range(vms)]
+        self.parts = [Subject(service=SERVICE, name=f"p{number}") for number in range(vms)]
         self.jobs = [make_job(part, self.run.clock.seconds()) for part in self.parts]
 
     def send(self) -> None:
@@ -183,12 +183,12 @@
         vm.end(self.jobs[number], self.engine, born=1, answered=False, broken=True)
         self.run.clock.pump([STEP_S] * 60)
 
-    def read_suspects(self) -> list[set[Part]]:
+    def read_suspects(self) -> list[set[Subject]]:
         now = self.run.clock.seconds()
         return [set(vm._evidence.list_suspects(now)) for vm in self.run.vms.values()]
 
 
-def make_job(part: Part, now: float) -> Any:
+def make_job(part: Subject, now: float) -> Any:
     return SimpleNamespace(
         service=SERVICE,
         generation=SimpleNamespace(prompt_parts=((part.name, 1), ("last", 1))),
@@ -224,7 +224,7 @@
     crashing.break_at(0)
     crashing.engine.alive = True
     first = next(iter(crashing.run.vms.values()))
-    answered = make_job(Part(service=SERVICE, name="other"), crashing.run.clock.seconds())
+    answered = make_job(Subject(service=SERVICE, name="other"), crashing.run.clock.seconds())
     first.begin(answered, crashing.engine)
     first.end(answered, crashing.engine, born=1, answered=True, broken=False)
     crashing.run.clock.pump([STEP_S] * 60)
--- a/tests/steps/simulated_quarantine.py
+++ b/tests/steps/simulated_quarantine.py
@@ -17,7 +17,7 @@
 from cactusshunt.membership.messages import decode_message
 from cactusshunt.membership.messages import encode_message
 from cactusshunt.platform.store import StoredItem
-from cactusshunt.quarantine.part_quarantine import PartQuarantine
+from cactusshunt.quarantine.quarantine import Quarantine
 from cactusshunt.tasks.periodic import pause
 from cactusshunt.tasks.periodic import start_coroutine
 
@@ -66,14 +66,14 @@
         self.born = getattr(self, "born", 0) + 1
         return SimulatedEngine(name=f"e{self.born}", address=(f"e{self.born}", 1))
 
-    def _make_vm(self, vm: str) -> PartQuarantine:
+    def _make_vm(self, vm: str) -> Quarantine:
         clock: Any = self.clock
         link: Any = SimpleNamespace(
             broadcast=lambda message: self._broadcast(vm, message),
             send=lambda message, peers: None,
             peers={},
         )
-        quarantine = PartQuarantine(
+        quarantine = Quarantine(
             reactor=clock,
             vm=vm,
             pool=SimpleNamespace(  # type: ignore[arg-type]
@@ -148,13 +148,13 @@
         )
         start_coroutine(self._serve(self.vms[vm], job, second == DEADLY_PART))
 
-    async def _serve(self, quarantine: PartQuarantine, job: Any, deadly: bool) -> None:
+    async def _serve(self, quarantine: Quarantine, job: Any, deadly: bool) -> None:
         result = await self._attempt(quarantine, job, deadly)
         quarantine.release(job)
         if not deadly:
             self.sound[result] += 1
 
-    async def _attempt(self, quarantine: PartQuarantine, job: Any, deadly: bool) -> str:
+    async def _attempt(self, quarantine: Quarantine, job: Any, deadly: bool) -> str:
         block = await quarantine.admit(job)
         if block is not None:
             return "convicted" if block.retry_after_s is None else "held back"
