Let instances of plain services die of a whole request in the soak

Requests that may be repeated have paths of their own now, but for one that some are sent with. The check counts crashes and late sends for each cause by itself.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,12 +12,14 @@
 from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
+from typing import TYPE_CHECKING
 from typing import Annotated
 
 import typer
 
 from local.platform_deployment import wait_until
 from soak.callers import DEADLY_PART
+from soak.callers import DEADLY_PATH
 from soak.callers import Caller
 from soak.faulty_link import LinkMode
 from soak.fleet import SoakFleet
@@ -33,6 +35,9 @@
 from soak.schedule import draw_faults
 from soak.schedule import draw_limits
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 LINK_MODES = {
     "link_delay": LinkMode.DELAY,
     "link_silent": LinkMode.SILENT,
@@ -118,7 +123,13 @@
         elif kind == "limit":
             self._limit(fault)
         elif kind == "deadly":
-            self._make_deadly(fault)
+            self._make_deadly(
+                fault, "e", lambda name: self._fleet.set_deadly_part(name, DEADLY_PART)
+            )
+        elif kind == "deadly_path":
+            self._make_deadly(
+                fault, "s", lambda name: self._fleet.set_deadly_path(name, DEADLY_PATH)
+            )
         else:
             self._restart_process(kind, target)
 
@@ -149,13 +160,13 @@
         except OSError:  # the upstream was killed, and starts again without a limit
             return
 
-    def _make_deadly(self, fault: Fault) -> None:
-        """Name the deadly part to all engines until the end, also to those that start again."""
-        engines = [name for name in self._fleet.upstream_ports if name.startswith("e")]
+    def _make_deadly(self, fault: Fault, prefix: str, name_cause: Callable[[str], None]) -> None:
+        """Name the cause to all upstreams until the end, also to those that start again."""
+        upstreams = [name for name in self._fleet.upstream_ports if name.startswith(prefix)]
         while time.time() < fault.ends_at:
-            for engine in engines:
+            for upstream in upstreams:
                 with suppress(OSError):
-                    self._fleet.set_deadly_part(engine, DEADLY_PART)
+                    name_cause(upstream)
             time.sleep(DEADLY_REPEAT_S)
 
     def _restart_process(self, kind: str, target: str) -> None:
@@ -221,7 +232,12 @@
 
     def _read_deadly(self) -> list[DeadlyEvent]:
         return [
-            DeadlyEvent(kind=fields[0], request_id=fields[1], at=float(fields[2]))
+            DeadlyEvent(
+                kind=fields[0],
+                cause="part" if name.startswith("e") else "request",
+                request_id=fields[1],
+                at=float(fields[2]),
+            )
             for name in self._fleet.upstream_ports
             for fields in map(str.split, self._fleet.read_log(name).splitlines())
             if len(fields) == 3 and fields[0] in ("deadly", "crash")
@@ -242,7 +258,7 @@
     fleet = SoakFleet(first_port=first_port, nodes=nodes)
     faults = draw_faults(seed, minutes * 60.0, list(fleet.caller_ports), list(fleet.upstream_ports))
     faults += draw_copies(seed, minutes * 60.0)
-    faults.append(draw_deadly(seed, minutes * 60.0))
+    faults += draw_deadly(seed, minutes * 60.0)
     faults += draw_limits(seed, minutes * 60.0, list(fleet.upstream_ports))
     threads = [
         Caller(fleet=fleet, rng=random.Random(f"{seed}/{number}")) for number in range(callers)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -24,6 +24,8 @@
 DEADLY_PART = "dead"  # of prompts; some upstreams die of it for a while
 DEADLY_SHARE = 0.03  # of the streams, which have it as their second part
 SUBJECTS = 20  # other second parts
+DEADLY_PATH = "/again/deadly"  # some instances of plain services die of it for a while
+DEADLY_PATH_SHARE = 0.02  # of the requests that may be repeated
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -97,7 +99,10 @@
                 "X-Prompt-Prefix": f"aa:50,{self._draw_part()}:30,{request_id}:20",
             }
         method = "GET" if kind == "again" else "POST"
-        connection.request(method, PATHS_BY_KIND[kind], b"" if method == "GET" else b"{}", headers)
+        path = PATHS_BY_KIND[kind]
+        if kind == "again":
+            path = DEADLY_PATH if self._rng.random() < DEADLY_PATH_SHARE else f"{path}{request_id}"
+        connection.request(method, path, b"" if method == "GET" else b"{}", headers)
         answer = connection.getresponse()
         own = answer.getheader("X-Request-Id", request_id) == request_id
         try:
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -21,7 +21,7 @@
 LIMIT_WINDOW_S = 4.0
 FIRST_LIMIT_WINDOW_S = 3.0  # after an upstream first named a limit
 TOLD_S = 0.5  # a node knows a limit this long after its first request that was answered with it
-CRASHES_ALLOWED = 5  # under the deadly part, before requests with it count
+CRASHES_ALLOWED = {"part": 5, "request": 3}  # under each cause, before requests with it count
 LATE_DEADLY_ALLOWED = 3
 STOP_GRACE_S = 6.0  # graceS in the nodes' settings
 
@@ -47,9 +47,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class DeadlyEvent:
-    """A request with the deadly part that arrived at an engine, or the crash under it."""
+    """A request with a deadly cause that arrived at an upstream, or the crash under it."""
 
     kind: str  # "deadly" or "crash"
+    cause: str  # "part" of prompts, or whole "request"
     request_id: str
     at: float
 
@@ -203,26 +204,30 @@
 
 
 def _check_deadly(observations: Observations) -> list[str]:
-    """Check that requests with the deadly part stay away from engines after five crashes.
+    """Check that requests with a deadly cause stay away from upstreams after some crashes.
 
     Requests count from nodes that nothing has disturbed for 3 s.
     """
-    crashes = sorted(found.at for found in observations.deadly if found.kind == "crash")
-    if len(crashes) < CRASHES_ALLOWED:
-        return []
     node_of = {found.request_id: found.node for found in observations.results}
-    late = [
-        found
-        for found in observations.deadly
-        if found.kind == "deadly"
-        and found.at > crashes[CRASHES_ALLOWED - 1] + SETTLE_S
-        and not _is_disturbed(observations, node_of.get(found.request_id), found.at, found.at)
-    ]
-    if len(late) <= LATE_DEADLY_ALLOWED:
-        return []
-    return [
-        f"{len(late)} requests with the deadly part reached engines after {len(crashes)} crashes"
-    ]
+    violations = []
+    for cause, allowed in CRASHES_ALLOWED.items():
+        events = [found for found in observations.deadly if found.cause == cause]
+        crashes = sorted(found.at for found in events if found.kind == "crash")
+        if len(crashes) < allowed:
+            continue
+        late = [
+            found
+            for found in events
+            if found.kind == "deadly"
+            and found.at > crashes[allowed - 1] + SETTLE_S
+            and not _is_disturbed(observations, node_of.get(found.request_id), found.at, found.at)
+        ]
+        if len(late) > LATE_DEADLY_ALLOWED:
+            violations.append(
+                f"{len(late)} requests with the deadly {cause} reached upstreams "
+                f"after {len(crashes)} crashes"
+            )
+    return violations
 
 
 def _is_disturbed(observations: Observations, node: str | None, begins: float, ends: float) -> bool:
@@ -238,7 +243,7 @@
     observations: Observations, begins: float, ends: float, ignored: Fault | None = None
 ) -> bool:
     """Return whether a fault other than planned work and ``ignored`` may affect the time span."""
-    planned = ("configuration", "drain", "deadly")
+    planned = ("configuration", "drain", "deadly", "deadly_path")
     return any(
         fault.at < ends and fault.ends_at + SETTLE_S > begins
         for fault in observations.faults
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -28,7 +28,7 @@
 MAX_DURATION_S = 4.0
 COPY_GAP_S = 12.0
 MAX_COPY_AGE_S = 5.0
-DEADLY_BEGIN = (0.2, 0.5)  # parts of a run in which the deadly part begins to be deadly
+DEADLY_BEGIN = (0.2, 0.5)  # parts of a run in which upstreams begin to die of requests
 AWAY_S = (0.05, 0.3, 1.5)
 LIMITS_PER_S = (1.0, 3.0, 8.0)  # callers send tens of requests a second to each upstream
 LIMIT_GAP_S = 4.0
@@ -118,10 +118,14 @@
     return copies
 
 
-def draw_deadly(seed: int, seconds: float) -> Fault:
-    """Return when engines begin to die of a part of prompts, to the end of the run."""
-    at = random.Random(f"{seed}/deadly").uniform(*(part * seconds for part in DEADLY_BEGIN))
-    return Fault(at=at, kind="deadly", target="engines", duration_s=seconds - at)
+def draw_deadly(seed: int, seconds: float) -> list[Fault]:
+    """Return when engines begin to die of a part of prompts, and instances of a whole request."""
+    rng = random.Random(f"{seed}/deadly")
+    begins = [rng.uniform(*(part * seconds for part in DEADLY_BEGIN)) for _ in range(2)]
+    return [
+        Fault(at=at, kind=kind, target="upstreams", duration_s=seconds - at)
+        for kind, at in zip(("deadly", "deadly_path"), begins, strict=True)
+    ]
 
 
 def _draw_target(rng: random.Random, kind: str, nodes: list[str], upstreams: list[str]) -> str:
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -23,6 +23,7 @@
       | an engine's memory was overcommitted          |
       | a limited service got 12 requests in 4 s      |
       | a part under which 5 engines crashed reached 4 more |
+      | a request under which 3 upstreams crashed reached 4 more |
       | a node ended with an error                    |
 
   Scenario: The same seed draws the same faults
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -107,11 +107,18 @@
         "a limited service got 12 requests in 4 s": {"limited": limited},
         "a part under which 5 engines crashed reached 4 more": {
             "deadly": [
-                DeadlyEvent(kind=kind, request_id=f"r{number}", at=START + number)
+                DeadlyEvent(kind=kind, cause="part", request_id=f"r{number}", at=START + number)
                 for number in range(12)
                 for kind in (("deadly", "crash") if number < 5 else ("deadly",))
             ]
         },
+        "a request under which 3 upstreams crashed reached 4 more": {
+            "deadly": [
+                DeadlyEvent(kind=kind, cause="request", request_id=f"r{number}", at=START + number)
+                for number in range(10)
+                for kind in (("deadly", "crash") if number < 3 else ("deadly",))
+            ]
+        },
         "a node ended with an error": {"failed_processes": ["n1 (1)"]},
     }
     for row in context.table:
