Reproduce VMs that are cut off from all upstreams

Each node of the soak's fleet has links of its own to the upstreams: the store's stand-in gives each a view with other ports. A link may also close new connections and let open ones live on. No soak could see a VM that is cut off before, as all shared one link to an upstream.

--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -62,7 +62,7 @@
 
     def start(self) -> None:
         """Start all processes and wait until the nodes are ready and know the order holder."""
-        self._spawn("store", "-m", "stand_ins.platform_store", str(self.store))
+        self._spawn("store", "-m", "stand_ins.platform_store", str(self.store), *self.store_views())
         wait_until(lambda: call(self.store, "GET", "/test/counts")[0] == 200)
         self.configure()
         for name in self.upstream_ports:
@@ -79,6 +79,10 @@
         """Return the port on which a node reaches the store."""
         return self.store
 
+    def store_views(self) -> list[str]:
+        """Return further ports of the store, each with an offset for the ports of upstreams."""
+        return []
+
     def start_upstream(self, name: str) -> None:
         """Start an engine with its initial models, or a plain service."""
         service = "access" if name.startswith("s") else "engines"
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -100,11 +100,14 @@
         time.sleep(max(0.0, fault.at - time.time()))
         kind, target = fault.kind, fault.target
         if kind in LINK_MODES:
-            self._fleet.links.set_mode(self._fleet.link_port_of(target), LINK_MODES[kind])
+            for port in self._fleet.link_ports_of(target):
+                self._fleet.links.set_mode(port, LINK_MODES[kind])
             time.sleep(fault.duration_s)
-            self._fleet.links.set_mode(self._fleet.link_port_of(target), LinkMode.NORMAL)
+            for port in self._fleet.link_ports_of(target):
+                self._fleet.links.set_mode(port, LinkMode.NORMAL)
         elif kind == "link_reset":
-            self._fleet.links.reset(self._fleet.link_port_of(target))
+            for port in self._fleet.link_ports_of(target):
+                self._fleet.links.reset(port)
         elif kind.endswith("_pause"):
             name = "store" if kind == "store_pause" else target
             self._fleet.signal(name, signal.SIGSTOP)
--- a/soak/faulty_link.py
+++ b/soak/faulty_link.py
@@ -20,13 +20,17 @@
 
 
 class LinkMode(enum.Enum):
-    """How a link treats data; ``SILENT`` holds back both directions, each cut only one."""
+    """How a link treats data; ``SILENT`` holds back both directions, each cut only one.
+
+    ``REFUSE`` closes new connections at once and lets open ones live on.
+    """
 
     NORMAL = "normal"
     DELAY = "delay"
     SILENT = "silent"
     CUT_TO_SERVER = "cut to the server"
     CUT_FROM_SERVER = "cut from the server"
+    REFUSE = "refuse"
 
 
 class FaultyLinks:
@@ -36,13 +40,22 @@
         self._loop = asyncio.new_event_loop()
         self._modes: dict[int, LinkMode] = {}
         self._writers: dict[int, set[asyncio.StreamWriter]] = {}
+        self._servers: list[asyncio.Server] = []
         threading.Thread(target=self._loop.run_forever, daemon=True).start()
 
     def open(self, port: int, target: int) -> None:
         """Listen on a port and forward its connections to the target port."""
         self._modes[port] = LinkMode.NORMAL
         self._writers[port] = set()
-        self._run(asyncio.start_server(self._accept(port, target), "127.0.0.1", port))
+        server = asyncio.start_server(self._accept(port, target), "127.0.0.1", port)
+        self._servers.append(self._run(server))
+
+    def close(self) -> None:
+        """Close all ports and reset their connections."""
+        for server in self._servers:
+            self._loop.call_soon_threadsafe(server.close)
+        for port in self._modes:
+            self.reset(port)
 
     def set_mode(self, port: int, mode: LinkMode) -> None:
         """Set the mode of a port's link, which also applies to open connections."""
@@ -61,6 +74,9 @@
 
     def _accept(self, port: int, target: int) -> Any:
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if self._modes[port] is LinkMode.REFUSE:
+                writer.transport.abort()
+                return
             try:
                 server_reader, server_writer = await asyncio.open_connection("127.0.0.1", target)
             except OSError:
@@ -93,5 +109,5 @@
             pass
         writer.close()
 
-    def _run(self, coroutine: Coroutine[Any, Any, Any]) -> None:
-        asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(5.0)
+    def _run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(5.0)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from local.platform_deployment import PlatformDeployment
 from soak.faulty_link import FaultyLinks
+from soak.faulty_link import LinkMode
+
+if TYPE_CHECKING:
+    from pathlib import Path
 
 ENGINE_COUNT = 3
 SERVICE_COUNT = 2
+LINKS_OFFSET, LINKS_PER_NODE = 600, 20  # of the ports of nodes' links to upstreams
 
 
 class SoakFleet(PlatformDeployment):
-    """Platform deployment whose nodes reach the store and the upstreams over faulty links."""
+    """Platform deployment whose nodes reach the store and the upstreams over faulty links.
+
+    Each node has links of its own.
+    """
 
     def __init__(self, *, first_port: int, nodes: int) -> None:
         super().__init__(first_port=first_port)
@@ -21,20 +31,54 @@
 
     def start(self) -> None:
         """Open the links, start all programs and wait until every node is ready."""
-        for name, port in self.upstream_ports.items():
-            self.links.open(self.upstream_port_of(name), port)
-        for name in self.caller_ports:
-            self.links.open(self.store_port_of(name), self.store)
+        for node in self.caller_ports:
+            self.links.open(self.store_port_of(node), self._store_view_of(node))
+            for name, port in self.upstream_ports.items():
+                self.links.open(self._link_port(node, name), port)
         super().start()
 
-    def link_port_of(self, name: str) -> int:
-        """Return the port of the link to an upstream, or of a node's link to the store."""
-        return (
-            self.store_port_of(name) if name in self.caller_ports else self.upstream_port_of(name)
-        )
+    def stop(self, keep_logs: Path | None = None) -> None:
+        """Kill all processes and close the links."""
+        super().stop(keep_logs)
+        self.links.close()
+
+    def store_views(self) -> list[str]:
+        """Return a port of the store for each node, where upstreams have the ports of its links."""
+        return [
+            f"{self._store_view_of(node)}:{self._offset_of(node)}" for node in self.caller_ports
+        ]
+
+    def link_ports_of(self, name: str) -> list[int]:
+        """Return the ports of all links to an upstream, or of a node's link to the store."""
+        if name in self.caller_ports:
+            return [self.store_port_of(name)]
+        return [self._link_port(node, name) for node in self.caller_ports]
+
+    def upstream_links_of(self, node: str) -> list[int]:
+        """Return the ports of a node's links to all upstreams."""
+        return [self._link_port(node, name) for name in self.upstream_ports]
+
+    def cut_off(self, node: str, mode: LinkMode) -> None:
+        """Cut a node off from all upstreams, or connect it again with ``LinkMode.NORMAL``."""
+        for port in self.upstream_links_of(node):
+            self.links.set_mode(port, mode)
+
+    def reset(self, node: str) -> None:
+        """Reset a node's connections to all upstreams."""
+        for port in self.upstream_links_of(node):
+            self.links.reset(port)
+
+    def _offset_of(self, node: str) -> int:
+        return LINKS_OFFSET + LINKS_PER_NODE * list(self.caller_ports).index(node)
+
+    def _link_port(self, node: str, upstream: str) -> int:
+        return self.upstream_port_of(upstream) + self._offset_of(node)
+
+    def _store_view_of(self, node: str) -> int:
+        return self.caller_ports[node] + 5
 
     def upstream_port_of(self, name: str) -> int:
-        """Return the port of the link to an engine or a plain service."""
+        """Return the port in the record of an engine or a plain service."""
         return self.upstream_ports[name] + 40
 
     def store_port_of(self, node: str) -> int:
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -185,6 +185,8 @@
             }
         if path == "/v1/order":
             return self._handle_order(request)
+        if path == "/healthz":
+            return {}
         return self._run(request)
 
     def _describe_models(self) -> list[dict[str, Any]]:
--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -1,6 +1,8 @@
 """Stand-in for the store of the users' platform: keys, leases, transactions and long-poll watches.
 
-Run as ``python -m stand_ins.platform_store PORT``. ``POST /test/put`` writes keys as the operator
+Run as ``python -m stand_ins.platform_store PORT PORT:OFFSET ...``. Who reads on one of the further
+ports sees the addresses of upstreams with ports that are larger by its offset, so that each VM can
+have links of its own to them. ``POST /test/put`` writes keys as the operator
 does, ``POST /test/mode`` with ``down`` makes calls fail, and ``GET /test/counts`` returns the
 number of calls by action.
 
@@ -13,6 +15,7 @@
 from __future__ import annotations
 
 import base64
+import json
 import sys
 
 from collections import Counter
@@ -24,6 +27,7 @@
 
 from stand_ins.http import abort_connection
 from stand_ins.http import encode_answer
+from stand_ins.http import listen
 from stand_ins.http import read_json
 from stand_ins.http import read_path
 from stand_ins.http import send_answer
@@ -49,7 +53,8 @@
 class PlatformStoreStandIn:
     """The store's HTTP interface and its state in memory."""
 
-    def __init__(self) -> None:
+    def __init__(self, offsets: dict[int, int]) -> None:
+        self._offsets = offsets
         self._revision = 1
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
@@ -126,6 +131,7 @@
     def _do_range(self, request: Request) -> Any:
         prefix = _read_argument(request, "prefix")
         items = [item for key, item in sorted(self._items.items()) if key.startswith(prefix)]
+        items = self._localize(request, items)
         return {"items": items, "morePages": False, "currentRev": self._revision}
 
     def _do_watch(self, request: Request) -> Any:
@@ -135,6 +141,7 @@
             return encode_answer(request, {}, 410)
         events = self._list_events(prefix, after)
         if events:
+            events = self._localize(request, events)
             return {"events": events, "currentRev": self._revision}
         watch = (request, prefix, after)
         self._watches.append(watch)
@@ -224,6 +231,11 @@
             if event["modRevision"] > after and event["key"].startswith(prefix)
         ]
 
+    def _localize(self, request: Request, items: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        """Return items with the addresses that the reader of this port uses."""
+        offset = self._offsets.get(request.getHost().port, 0)
+        return [_move_address(item, offset) for item in items] if offset else items
+
     def _answer_watches(self) -> None:
         for watch in list(self._watches):
             if self._list_events(watch[1], watch[2]):
@@ -232,7 +244,7 @@
     def _answer_watch(self, watch: tuple[Request, str, int]) -> None:
         if watch in self._watches:
             self._remove_watch(watch)
-            events = self._list_events(watch[1], watch[2])
+            events = self._localize(watch[0], self._list_events(watch[1], watch[2]))
             send_answer(watch[0], {"events": events, "currentRev": self._revision})
 
     def _remove_watch(self, watch: tuple[Request, str, int]) -> None:
@@ -240,10 +252,26 @@
             self._watches.remove(watch)
 
 
+def _move_address(item: dict[str, Any], offset: int) -> dict[str, Any]:
+    """Return an upstream's item with the port in its address moved; other items stay."""
+    if not item["key"].startswith("servers/") or "value" not in item:
+        return item
+    entry = json.loads(base64.b64decode(item["value"]))
+    host, _, port = entry["address"].rpartition(":")
+    entry["address"] = f"{host}:{int(port) + offset}"
+    return {**item, "value": base64.b64encode(json.dumps(entry).encode()).decode()}
+
+
 def _read_argument(request: Request, name: str) -> str:
     values = request.args.get(name.encode(), [b""])
     return str(values[0].decode())
 
 
 if __name__ == "__main__":
-    serve(PlatformStoreStandIn().handle, int(sys.argv[1]))
+    port_offsets = {
+        int(port): int(offset) for port, _, offset in (pair.partition(":") for pair in sys.argv[2:])
+    }
+    store = PlatformStoreStandIn(port_offsets)
+    for port in port_offsets:
+        listen(store.handle, port)
+    serve(store.handle, int(sys.argv[1]))
--- /dev/null
+++ b/tests/relaying/cut_off_vms.feature
@@ -0,0 +1,16 @@
+Feature: VMs lose their links to all upstreams, while callers, the store and the other VMs reach them
+
+  Scenario Outline: Callers of VMs that are cut off from all upstreams
+    Given 4 nodes, each with links of its own to the upstreams
+    When <cut> of them are cut off from all upstreams for 10 seconds, <how>, while callers send requests
+    Then from 3 seconds after the cut first tries there are served two thirds as often as at the others, or more
+    And from 3 seconds after its end they are served as often as at the others
+    And what may run once ran at most once, and not if its caller was told so
+    And no node takes an engine for crashed
+
+    Examples:
+      | cut | how                                            |
+      | 2   | when nothing passes                            |
+      | 2   | when connections are reset and new ones closed |
+      | 1   | when only new connections are closed           |
+      | 3   | when connections are reset and new ones closed |
