--- a/tests/steps/simulated_limits.py
+++ b/tests/steps/simulated_limits.py
@@ -69,6 +69,7 @@
         done=False,
         long_running=False,
         excluded_upstreams=set(),
+        probe_upstreams=None,
         outcomes=[],
         permit_wait=None,
         sink=SimpleNamespace(forwarding_started=False),
--- a/tests/steps/waiting_steps.py
+++ b/tests/steps/waiting_steps.py
@@ -84,6 +84,7 @@
         long_running=False,
         permit_wait=None,
         excluded_upstreams=set(),
+        probe_upstreams=None,
         remaining_first_byte_ms=lambda now: float(timeout_ms),
     )
     context.picked = []
