Pass requests on to a VM that reaches their service, from one that is cut off

Cause: each attempt went over the VM's own links, and no VM knew what the others reach, so a cut VM answered 502, 503 or 504 to all its callers; and its reset connections were taken for crashes of all engines, at the other VMs too. Ruled out: placement (the others served as before).

Change: VMs say which services they reach; one that hears no upstream of a service probes, and passes requests on to a VM that does while it is cut off. An engine is not taken for crashed while the VM connects to no other upstream either.

--- /dev/null
+++ b/src/cactusshunt/detour/peer_requests.py
@@ -0,0 +1,77 @@
+"""Accepts the requests that other VMs pass on, at a port of their own."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cactusshunt.platform import headers as names
+from cactusshunt.requests import local_answers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cactusshunt.http1.caller_connection import CallerConnection
+    from cactusshunt.http1.caller_connection import ReceivedRequest
+    from cactusshunt.http1.caller_connection import RequestLimits
+    from cactusshunt.membership.peer_link import PeerLink
+    from cactusshunt.requests.caller_requests import CallerRequests
+
+MAX_DETOURS_IN_FLIGHT = 300  # a few at once while nothing is cut; this VM's own callers come first
+RETRY_AFTER_S = 0.3
+
+
+class PeerRequests:
+    """Handler of connections from registered VMs; handles their requests like callers' ones."""
+
+    def __init__(
+        self,
+        *,
+        callers: CallerRequests,
+        link: PeerLink,
+        configuration_version: Callable[[], int],
+    ) -> None:
+        self._callers = callers
+        self._link = link
+        self._configuration_version = configuration_version
+
+    def limits(self) -> RequestLimits:
+        """Return the size and time limits for reading requests."""
+        return self._callers.limits()
+
+    def stopping(self) -> bool:
+        """Return whether this VM is stopping."""
+        return self._callers.stopping()
+
+    def connection_opened(self, connection: CallerConnection) -> None:
+        """Record a new connection."""
+        self._callers.connection_opened(connection)
+
+    def connection_closed(self, connection: CallerConnection) -> None:
+        """Record the end of a connection."""
+        self._callers.connection_closed(connection)
+
+    def handle(self, request: ReceivedRequest, connection: CallerConnection) -> None:
+        """Handle a request that a VM passed on; close the connection of anyone else."""
+        passed = names.read_detour(request.headers)
+        if passed is None or not self._is_peer(connection):
+            connection.abort()
+            return
+        reason = self._find_refusal(passed.configuration_version)
+        if reason is not None:
+            request_id = names.find_header(request.headers, names.REQUEST_ID) or b""
+            refusal = local_answers.build_refusal(request_id, reason, RETRY_AFTER_S)
+            connection.answer(*local_answers.mark_for_peer(refusal, ran=False))
+            return
+        self._callers.handle(request, connection, is_detour=True)
+
+    def _find_refusal(self, configuration_version: int) -> str | None:
+        if configuration_version > self._configuration_version():
+            return "the other VM has a newer configuration"
+        if self._callers.detours_in_flight >= MAX_DETOURS_IN_FLIGHT:
+            return "too many requests of other VMs at once"
+        return None
+
+    def _is_peer(self, connection: Any) -> bool:
+        host = connection.transport.getPeer().host
+        return any(peer.record.address == host for peer in self._link.peers.values())
--- a/src/cactusshunt/http1/connection_pool.py
+++ b/src/cactusshunt/http1/connection_pool.py
@@ -33,8 +33,10 @@
     async def acquire(self, address: Address) -> UpstreamConnection:
         """Return an idle or new connection; raises ``UpstreamNotReachedError``."""
         connection = self._take_idle(address)
-        if connection is not None:
-            return connection
+        return connection if connection is not None else await self.open(address)
+
+    async def open(self, address: Address) -> UpstreamConnection:
+        """Return a new connection; raises ``UpstreamNotReachedError``."""
         try:
             return await self._connect(address)
         except Exception as error:
--- a/src/cactusshunt/membership/announcer.py
+++ b/src/cactusshunt/membership/announcer.py
@@ -46,6 +46,7 @@
         directory: UpstreamDirectory,
         meter: DemandMeter,
         membership: MembershipTask,
+        list_reached_services: Callable[[], list[str]],
         handle_demand: Callable[[DemandReport], None],
         plan_now: Callable[[], None],
     ) -> None:
@@ -56,6 +57,7 @@
         self._directory = directory
         self._meter = meter
         self._membership = membership
+        self._list_reached_services = list_reached_services
         self._handle_demand = handle_demand
         self._plan_now = plan_now
         self._status_number = 0
@@ -90,7 +92,8 @@
         ]
         silent_s = self._membership.store_silent_s(self._reactor.seconds())
         store_is_silent = silent_s >= STORE_SILENCE_S
-        is_due = self._reported_work or store_is_silent or self._version_reports_due
+        reached = self._list_reached_services()
+        is_due = self._reported_work or store_is_silent or self._version_reports_due or reached
         if not work and not is_due:
             return
         self._version_reports_due = max(0, self._version_reports_due - 1)
@@ -101,6 +104,7 @@
             store_silent_ms=int(silent_s * 1000),
             work=work,
             configuration_version=self._configuration_version,
+            reached_services=reached,
         )
         to_all = store_is_silent or not self._link.is_large_fleet
         self._link.send(
--- a/src/cactusshunt/membership/peer_link.py
+++ b/src/cactusshunt/membership/peer_link.py
@@ -45,14 +45,16 @@
     ConvictedPart: "convictions",
 }
 # What a VM's messages include beyond status, demand and placement: 1 nothing, 2 request limits,
-# 3 also crashes of engines.
-MESSAGE_VERSION = 3
+# 3 also crashes of engines; 4: the VM also accepts requests that others pass on.
+MESSAGE_VERSION = 4
 LIMITS_MESSAGE_VERSION = 2
+CRASHES_MESSAGE_VERSION = 3
+DETOUR_MESSAGE_VERSION = 4
 NEEDED_MESSAGE_VERSION: dict[type[Message], int] = {
     LimitReport: LIMITS_MESSAGE_VERSION,
-    CrashReport: MESSAGE_VERSION,
-    PartReport: MESSAGE_VERSION,
-    ConvictedPart: MESSAGE_VERSION,
+    CrashReport: CRASHES_MESSAGE_VERSION,
+    PartReport: CRASHES_MESSAGE_VERSION,
+    ConvictedPart: CRASHES_MESSAGE_VERSION,
 }
 
 
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -15,6 +15,9 @@
 from cactusshunt.configuration.platform_view import PlatformView
 from cactusshunt.configuration.store_era import StoreEra
 from cactusshunt.configuration.version_check import VersionCheck
+from cactusshunt.detour.detour import Detour
+from cactusshunt.detour.peer_requests import PeerRequests
+from cactusshunt.detour.service_reach import ServiceReach
 from cactusshunt.exceptions import SettingsError
 from cactusshunt.http1.caller_connection import CallerConnection
 from cactusshunt.http1.connection_pool import ConnectionPool
@@ -73,6 +76,7 @@
 CONNECT_TIMEOUT_S = 0.3  # far above (a hundred times) the usual connect time between zones
 STORE_CONNECT_TIMEOUT_S = 0.5
 ORDER_TICK_INTERVAL_S = 0.05
+REACH_TICK_INTERVAL_S = 0.1
 HOUSEKEEPING_INTERVAL_S = 1.0
 LOG_FLUSH_INTERVAL_S = 0.1
 PEER_TRAFFIC_LOG_INTERVAL_S = 5.0
@@ -109,7 +113,7 @@
             vm=settings.node,
             record=PeerRecord(
                 address=settings.ip,
-                port=settings.port_range[0],  # of the datagrams between VMs
+                port=settings.port_range[0],  # UDP for datagrams, TCP for requests passed on
                 availability_zone=settings.zone,
                 message_version=MESSAGE_VERSION,
             ),
@@ -155,6 +159,11 @@
         self._directory.on_expired = lambda upstream: self._pool.close_idle_connections(
             upstream.address
         )
+        self._reach = ServiceReach(
+            reactor=reactor,
+            pool=ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S),
+            directory=self._directory,
+        )
         self._announcer = Announcer(
             reactor=reactor,
             vm=settings.node,
@@ -163,6 +172,7 @@
             directory=self._directory,
             meter=self._meter,
             membership=self._membership,
+            list_reached_services=self._reach.list_reached,
             handle_demand=self._handle_demand,
             plan_now=self._plan_now,
         )
@@ -174,6 +184,7 @@
             link=self._link,
             store=self._lease_store,
         )
+        self._peer_pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
         relay = Relay(
             reactor=reactor,
             pool=self._pool,
@@ -182,6 +193,16 @@
             allowance=self._allowance,
             limits=self._limits,
             quarantine=self._quarantine,
+            reach=self._reach,
+            detour=Detour(
+                reactor=reactor,
+                vm=settings.node,
+                availability_zone=settings.zone,
+                pool=self._peer_pool,
+                link=self._link,
+                reach=self._reach,
+                configuration_version=lambda: self._version,
+            ),
         )
         self._quarantine.on_crash = relay.record_crash
         self._handlers: dict[type[Message], Callable[[Any], None]] = {
@@ -223,6 +244,7 @@
             view=self._view,
             version_check=self._version_check,
             quarantine=self._quarantine,
+            reach=self._reach,
         )
         self._telemetry = NodeTelemetry(read_gauges=self._state.read_gauges, statsd=settings.statsd)
 
@@ -235,11 +257,16 @@
             is_ready=self.is_ready, dump=self._state.dump_state, lift=self._quarantine.lift
         )
         self._listen(settings.listen.ready, page)
+        peer_requests = PeerRequests(
+            callers=self._callers, link=self._link, configuration_version=lambda: self._version
+        )
+        self._listen(f"{settings.ip}:{settings.port_range[0]}", peer_requests)
         self._serve_metrics(settings.ip)
         self._reactor.listenUDP(settings.port_range[0], self._link, interface=settings.ip)
         start_coroutine(self._view.run())
         start_coroutine(self._membership.run())
         self._repeat(ORDER_TICK_INTERVAL_S, self._orders.tick)
+        self._repeat(REACH_TICK_INTERVAL_S, self._reach.tick)
         self._repeat(STATUS_INTERVAL_S, self._announcer.send_status)
         self._repeat(DEMAND_INTERVAL_S, self._announcer.send_demand)
         self._repeat(HOUSEKEEPING_INTERVAL_S, self._run_housekeeping)
@@ -326,6 +353,7 @@
         self._version_check.record_own_version(configuration.version)
         self._announcer.announce_configuration(configuration.version)
         self._callers.set_configuration(configuration)
+        self._reach.set_configuration(configuration)
         self._orders.set_configuration(configuration)
         log_event("configuration", version=configuration.version, routes=len(configuration.routes))
 
@@ -336,6 +364,7 @@
 
     def _handle_status(self, status: Status) -> None:
         self._directory.apply_status(status)
+        self._reach.record_peer_word(status.vm, status.reached_services)
         self._version_check.record_peer_version(status.configuration_version)
         self._membership.record_store_report(status.vm, status.store_silent_ms / 1000.0)
 
@@ -360,6 +389,7 @@
     def _run_housekeeping(self) -> None:
         self._pool.close_expired()
         self._order_pool.close_expired()
+        self._peer_pool.close_expired()
         self._quarantine.tick()
         if self._read_settings_file_state() != self._known_file_state:
             self.reload()
--- a/src/cactusshunt/node_state.py
+++ b/src/cactusshunt/node_state.py
@@ -18,6 +18,7 @@
     from cactusshunt.configuration.platform_view import PlatformView
     from cactusshunt.configuration.store_era import StoreEra
     from cactusshunt.configuration.version_check import VersionCheck
+    from cactusshunt.detour.service_reach import ServiceReach
     from cactusshunt.limits.request_limits import RequestLimits
     from cactusshunt.membership.membership_task import MembershipTask
     from cactusshunt.membership.peer_link import PeerLink
@@ -51,6 +52,7 @@
         view: PlatformView,
         version_check: VersionCheck,
         quarantine: Quarantine,
+        reach: ServiceReach,
     ) -> None:
         self._vm = vm
         self._clock = clock
@@ -66,6 +68,7 @@
         self._view = view
         self._version_check = version_check
         self._quarantine = quarantine
+        self._reach = reach
         self._version = 0
         self._version_at = clock()
         self.stopping = False
@@ -109,6 +112,7 @@
                 }
                 for upstream in self._directory.all()[:MAX_LISTED]
             ],
+            "cut_off_from": self._reach.list_cut_off(),
             "suspected_parts": self._quarantine.describe(now)[:MAX_LISTED],
             "request_limits": [
                 {
--- a/src/cactusshunt/platform/boot.py
+++ b/src/cactusshunt/platform/boot.py
@@ -52,8 +52,8 @@
 class BootSettings(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """Settings of one process; unknown fields are ignored.
 
-    ``node`` is the name of the VM; the first port of ``port_range`` is for UDP between VMs, the
-    others are unused; ``statsd`` is ``HOST:PORT``, or empty to send no statsd metrics.
+    ``node`` is the name of the VM; the first port of ``port_range`` is for UDP and TCP between
+    VMs, the others are unused; ``statsd`` is ``HOST:PORT``, or empty to send no statsd metrics.
     """
 
     node: str
--- a/src/cactusshunt/platform/documents.py
+++ b/src/cactusshunt/platform/documents.py
@@ -104,6 +104,7 @@
 
     name: str
     max_connections: int = 100
+    health_path: str = "/healthz"
     engine: EngineSpec | None = None
 
 
--- a/src/cactusshunt/platform/headers.py
+++ b/src/cactusshunt/platform/headers.py
@@ -4,6 +4,8 @@
 
 import re
 
+from dataclasses import dataclass
+
 from cactusshunt.exceptions import HeaderValueError
 
 READY_PATH = b"/v1/readyz"  # polled by the platform's load balancer once a second
@@ -22,6 +24,9 @@
 PRIORITY = b"x-request-priority"  # 0 is the most urgent
 LAST_EVENT_ID = b"last-event-id"  # of the last event received, to continue a stream
 RETRY_AFTER = b"retry-after"  # s
+DETOUR = b"cactusshunt-detour"  # between VMs: the VM that passes a request on, its configuration
+DETOUR_RESULT = b"cactusshunt-detour-result"  # between VMs: in a VM's own answers to such requests
+DETOUR_NOT_RUN, DETOUR_UNKNOWN = b"not-run", b"unknown"  # the request did not run, or may have
 CONTENT_ENCODING = b"content-encoding"
 KEEP_ALIVE = b"keep-alive"
 
@@ -37,9 +42,10 @@
         b"kv-from",
         b"kv-fetch",
         b"wait-ms",
+        DETOUR,
     }
 )
-"""Removed from callers' requests; this system sets the first three on its own."""
+"""Removed from callers' requests; this system sets the first three and the last on its own."""
 HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -53,6 +59,7 @@
         b"upgrade",
         b"content-length",
         b"expect",
+        DETOUR_RESULT,
     }
 )
 """Apply to one connection only (RFC 9110, section 7.6.1), or are set again for the next one."""
@@ -64,6 +71,14 @@
 _DECIMAL_NUMBER = re.compile(rb"\d{1,12}(\.\d{1,12})?")
 
 
+@dataclass(frozen=True, kw_only=True)
+class DetourOrigin:
+    """The VM that passed a request on, and the version of its configuration."""
+
+    vm: str
+    configuration_version: int
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of the header with the given lower-case name."""
     for key, value in headers:
@@ -86,6 +101,15 @@
     return [(k, v) for k, v in headers if k.lower() not in dropped and k.lower() not in hop_names]
 
 
+def read_detour(headers: Headers) -> DetourOrigin | None:
+    """Return which VM passed a request on, ``None`` if none did."""
+    value = find_header(headers, DETOUR)
+    vm, _, version = (value or b"").rpartition(b";")
+    if not vm or not version.isdigit():
+        return None
+    return DetourOrigin(vm=vm.decode("latin-1"), configuration_version=int(version))
+
+
 def read_request_limit(headers: Headers) -> float | None:
     """Return the limit that an answer names, in requests a second; ``None`` if it names none.
 
--- a/src/cactusshunt/platform/request_headers.py
+++ b/src/cactusshunt/platform/request_headers.py
@@ -37,6 +37,28 @@
         built.append(
             (b"X-Request-Priority", str(min(LOWEST_PRIORITY, max(0, engine_priority))).encode())
         )
+    return _add_framing(built, resume_after, body_bytes)
+
+
+def build_detour_headers(
+    headers: Headers,
+    *,
+    vm: str,
+    configuration_version: int,
+    left_ms: float,
+    resume_after: bytes | None,
+    body_bytes: int | None,
+) -> Headers:
+    """Return a caller's headers for another VM; the arguments are as for an upstream."""
+    built = [
+        *headers,
+        (b"X-Deadline-Ms", str(int(max(1.0, left_ms))).encode()),
+        (names.DETOUR, f"{vm};{configuration_version}".encode()),
+    ]
+    return _add_framing(built, resume_after, body_bytes)
+
+
+def _add_framing(built: Headers, resume_after: bytes | None, body_bytes: int | None) -> Headers:
     if resume_after is not None:
         built = [(k, v) for k, v in built if k.lower() != names.LAST_EVENT_ID]
         built.append((b"Last-Event-Id", resume_after))
--- a/src/cactusshunt/quarantine/quarantine.py
+++ b/src/cactusshunt/quarantine/quarantine.py
@@ -49,6 +49,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from cactusshunt.http1.connection_pool import Address
     from cactusshunt.http1.connection_pool import ConnectionPool
     from cactusshunt.membership.messages import Broadcast
     from cactusshunt.membership.peer_link import PeerLink
@@ -74,6 +75,7 @@
 MAX_RUNS = 256  # crashed runs of engines that are remembered
 MAX_CONVICTIONS = 256
 STORE = "store"  # source of a conviction that the view delivered
+CONTROLS = 2  # other upstreams, twice, to which a connection shows that this VM's links work
 MAX_CHECK_WAIT_S = 0.1  # a request waits this long until it is known whether its engine crashed
 LAST_PROBE = "probe:"  # claimed for the probe of a subject that one more crash may convict
 
@@ -532,7 +534,8 @@
         start_coroutine(self._confirm_crash(upstream, crash, job.service))
 
     async def _confirm_crash(self, upstream: Upstream, crash: Crash, service: str) -> None:
-        has_ended = await has_crashed(self._reactor, self._pool, upstream.address)
+        others = self._list_other_addresses(upstream)
+        has_ended = await has_crashed(self._reactor, self._pool, upstream.address, others)
         subjects = self._checks.pop(crash.run)
         if not has_ended:
             self._wake()
@@ -540,6 +543,14 @@
         self.on_crash(upstream)
         self._report_crash(crash, service, subjects)
 
+    def _list_other_addresses(self, upstream: Upstream) -> list[Address]:
+        """Return the addresses of some other upstreams, of its own service and of others."""
+        others = [found for found in self._directory.all() if found.ready and found is not upstream]
+        kin = [found for found in others if found.entry.service == upstream.entry.service]
+        chosen = self._random.sample(kin, min(CONTROLS, len(kin)))
+        chosen += self._random.sample(others, min(CONTROLS, len(others)))
+        return [found.address for found in chosen]
+
     def _report_crash(self, crash: Crash, service: str, subjects: set[Subject]) -> None:
         now = self._now()
         names = [subject.name for subject in sorted(subjects)]
--- a/src/cactusshunt/requests/caller_requests.py
+++ b/src/cactusshunt/requests/caller_requests.py
@@ -14,6 +14,7 @@
 from cactusshunt.platform.model_headers import read_deadline_ms
 from cactusshunt.platform.model_headers import read_generation_request
 from cactusshunt.requests import local_answers
+from cactusshunt.requests.admission import Refusal
 from cactusshunt.requests.answer_sink import AnswerSink
 from cactusshunt.requests.job import Job
 from cactusshunt.requests.stopping import check_while_stopping
@@ -26,7 +27,6 @@
     from cactusshunt.http1.caller_connection import ReceivedRequest
     from cactusshunt.placement.demand_meter import DemandMeter
     from cactusshunt.platform.documents import Configuration
-    from cactusshunt.requests.admission import Refusal
     from cactusshunt.requests.relay import Relay
 
 DEFAULT_LIMITS = RequestLimits(
@@ -52,6 +52,7 @@
         self._random = random.Random()
         self.connections: set[CallerConnection] = set()
         self.in_flight = 0
+        self.detours_in_flight = 0
         self._grace_s = grace_s
         self._stopping_since: float | None = None
 
@@ -91,20 +92,29 @@
         for connection in list(self.connections):
             connection.close_idle()
 
-    def handle(self, request: ReceivedRequest, connection: CallerConnection) -> None:
-        """Route a request and start its handling, or refuse it."""
+    def handle(
+        self, request: ReceivedRequest, connection: CallerConnection, *, is_detour: bool = False
+    ) -> None:
+        """Route a request and start its handling, or refuse it.
+
+        ``is_detour`` means that another VM passed it on, which has counted it.
+        """
         request_id = names.find_header(request.headers, names.REQUEST_ID) or b""
         if self._table is None:
-            self._refuse(connection, request_id, "no configuration is known yet", RETRY_AFTER_S)
+            refusal = Refusal(reason="no configuration is known yet", retry_after_s=RETRY_AFTER_S)
+            self._refuse(connection, request_id, refusal, is_detour)
             return
         host = names.find_header(request.headers, b"host") or b""
         route = self._table.find(host, request.target)
         if route is None:
             answer = local_answers.build_failure(404, request_id, "no route")
+            if is_detour:
+                answer = local_answers.mark_for_peer(answer, ran=False)
             connection.answer(*answer)
             return
         if self.in_flight >= MAX_JOBS_IN_FLIGHT:
-            self._refuse(connection, request_id, "too many requests at once", RETRY_AFTER_S)
+            refusal = Refusal(reason="too many requests at once", retry_after_s=RETRY_AFTER_S)
+            self._refuse(connection, request_id, refusal, is_detour)
             return
         now = self._reactor.seconds()
         limit_ms = route.timeout_ms
@@ -120,6 +130,7 @@
             request_id=request_id,
             headers=names.select_forwarded_headers(request.headers, DROPPED_HEADERS),
             deadline=request.arrived_at + limit_ms / 1000.0,
+            is_detour=is_detour,
             sink=AnswerSink(
                 connection=connection,
                 request_id=request_id,
@@ -127,11 +138,12 @@
                 clock=self._reactor.seconds,
             ),
         )
-        refusal = self._check_stopping(job, now)
-        if refusal is not None:
-            self._refuse(connection, request_id, refusal.reason, refusal.retry_after_s)
+        stopping = self._check_stopping(job, now)
+        if stopping is not None:
+            self._refuse(connection, request_id, stopping, is_detour)
             return
-        self._record_demand(job, now)
+        if not is_detour:
+            self._record_demand(job, now)
         start_coroutine(self._run(job))
 
     def _check_stopping(self, job: Job, now: float) -> Refusal | None:
@@ -147,10 +159,12 @@
 
     async def _run(self, job: Job) -> None:
         self.in_flight += 1
+        self.detours_in_flight += job.is_detour
         try:
             await self._relay.run(job)
         finally:
             self.in_flight -= 1
+            self.detours_in_flight -= job.is_detour
 
     def _record_demand(self, job: Job, now: float) -> None:
         if job.generation is None:
@@ -161,8 +175,9 @@
             self._meter.record_request((job.service, job.item), tokens, now)
 
     def _refuse(
-        self, connection: CallerConnection, request_id: bytes, reason: str, retry_after_s: float
+        self, connection: CallerConnection, request_id: bytes, refusal: Refusal, is_detour: bool
     ) -> None:
+        reason, retry_after_s = refusal.reason, refusal.retry_after_s
         log_event(
             "request_failed",
             request=request_id.decode("latin-1"),
@@ -170,4 +185,7 @@
             ran=False,
             retry_after_s=retry_after_s,
         )
-        connection.answer(*local_answers.build_refusal(request_id, reason, retry_after_s))
+        answer = local_answers.build_refusal(request_id, reason, retry_after_s)
+        if is_detour:
+            answer = local_answers.mark_for_peer(answer, ran=False)
+        connection.answer(*answer)
--- a/src/cactusshunt/requests/local_answers.py
+++ b/src/cactusshunt/requests/local_answers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cactusshunt.platform import headers as names
 from cactusshunt.platform.request_headers import build_local_answer_headers
 
 if TYPE_CHECKING:
@@ -38,6 +39,13 @@
     return status, build_local_answer_headers(request_id), _encode(request_id, reason, "unknown")
 
 
+def mark_for_peer(answer: tuple[int, Headers, bytes], *, ran: bool) -> tuple[int, Headers, bytes]:
+    """Return a local answer that says to the VM that passed the request on whether it ran."""
+    status, headers, body = answer
+    said = names.DETOUR_UNKNOWN if ran else names.DETOUR_NOT_RUN
+    return status, [*headers, (names.DETOUR_RESULT, said)], body
+
+
 def _encode(request_id: bytes, reason: str, ran: str) -> bytes:
     return msgspec.json.encode(
         ErrorBody(error=reason, ran=ran, request_id=request_id.decode("latin-1"))
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -12,6 +12,9 @@
 from cactusshunt.platform.request_headers import build_request_headers
 from cactusshunt.quarantine.quarantine import AttemptEnd
 from cactusshunt.requests import local_answers
+from cactusshunt.requests.exchange import count_body_bytes
+from cactusshunt.requests.exchange import exchange
+from cactusshunt.requests.exchange import prepare_exchange
 from cactusshunt.requests.outcome import NextStep
 from cactusshunt.requests.outcome import Outcome
 from cactusshunt.requests.outcome import decide_next
@@ -28,6 +31,8 @@
 if TYPE_CHECKING:
     from twisted.internet.base import ReactorBase
 
+    from cactusshunt.detour.detour import Detour
+    from cactusshunt.detour.service_reach import ServiceReach
     from cactusshunt.http1.connection_pool import ConnectionPool
     from cactusshunt.http1.upstream_connection import UpstreamConnection
     from cactusshunt.limits.request_limits import RequestLimits
@@ -41,12 +46,9 @@
     from cactusshunt.routing.upstream import Upstream
     from cactusshunt.routing.upstream_directory import UpstreamDirectory
 
-METHODS_USUALLY_WITHOUT_BODY = (b"GET", b"HEAD", b"DELETE")  # if empty, sent without Content-Length
 MAX_SENDS = 3  # per request, including the attempts that upstreams refused
 # Upstreams get this much less time than is left, so that their timeout answers can be forwarded.
 UPSTREAM_DEADLINE_MARGIN_MS = 20
-# Upstreams stop work at their deadline; what still arrives after this time is no answer.
-LATE_ANSWER_S = 2.0
 GATEWAY_TIMEOUT = 504  # of an upstream that may not have begun the request
 
 
@@ -72,6 +74,8 @@
         allowance: RetryAllowance,
         limits: RequestLimits,
         quarantine: Quarantine,
+        reach: ServiceReach,
+        detour: Detour,
     ) -> None:
         self._reactor = reactor
         self._pool = pool
@@ -80,10 +84,13 @@
         self._allowance = allowance
         self._limits = limits
         self._quarantine = quarantine
+        self._reach = reach
+        self._detour = detour
 
     async def run(self, job: Job) -> None:
         """Handle a request until it is answered, by its deadline at the latest."""
-        self._allowance.count_request(job.service, self._now())
+        if not job.is_detour:
+            self._allowance.count_request(job.service, self._now())
         timer = self._call_later(job.deadline - self._now(), lambda: self._answer_at_deadline(job))
         try:
             await self._run_attempts(job)
@@ -96,23 +103,12 @@
 
     async def _run_attempts(self, job: Job) -> None:
         while not job.done and not job.connection.disconnected:
-            block = await self._quarantine.admit(job)
-            if block is not None:
-                self._answer_blocked(job, block)
+            if self._detour.is_needed(job):
+                outcome = await self._try_detour(job)
+            else:
+                outcome = await self._try_upstream(job)
+            if outcome is None:
                 return
-            picked = await self._picker.pick(job)
-            if job.done or job.connection.disconnected:
-                self._limits.return_permit(picked.permit)
-                return
-            if picked.refusal is not None:
-                log_limits(job, "", picked)
-                self._refuse(job, picked.refusal)
-                return
-            if self._fails_to_take_retry(job):
-                self._limits.return_permit(picked.permit)
-                self._answer_locally(job, "repeats used up")
-                return
-            outcome = await self._attempt(job, picked)
             job.outcomes.append(outcome)
             if job.done:
                 return
@@ -125,6 +121,33 @@
             self._answer_locally(job, outcome.value)
             return
 
+    async def _try_detour(self, job: Job) -> Outcome | None:
+        """Return the outcome at another VM, or ``None`` once the request is answered."""
+        if self._fails_to_take_retry(job):
+            self._answer_locally(job, "repeats used up")
+            return None
+        return await self._detour.attempt(job)
+
+    async def _try_upstream(self, job: Job) -> Outcome | None:
+        """Return the outcome at an upstream, or ``None`` once the request is answered."""
+        block = await self._quarantine.admit(job)
+        if block is not None:
+            self._answer_blocked(job, block)
+            return None
+        picked = await self._picker.pick(job)
+        if job.done or job.connection.disconnected:
+            self._limits.return_permit(picked.permit)
+            return None
+        if picked.refusal is not None:
+            log_limits(job, "", picked)
+            self._refuse(job, picked.refusal)
+            return None
+        if self._fails_to_take_retry(job):
+            self._limits.return_permit(picked.permit)
+            self._answer_locally(job, "repeats used up")
+            return None
+        return await self._attempt(job, picked)
+
     def _fails_to_take_retry(self, job: Job) -> bool:
         """Take a retry if the request was sent before; return whether none was left."""
         if not count_sends(job):
@@ -135,8 +158,8 @@
         # The attempts sent and those that may have run are limited here, retries by the allowance.
         sent = count_sends(job)
         ran = sum(1 for earlier in job.outcomes if may_have_run(earlier))
-        if sent >= MAX_SENDS or ran >= job.route.attempts:
-            return False
+        if sent >= MAX_SENDS or ran >= (1 if job.is_detour else job.route.attempts):
+            return False  # the VM that passed a request on counts the attempts
         if job.sink.forwarding_started and not (job.route.can_resume and job.sink.events.last_id):
             return False
         return outcome is Outcome.NOT_REACHED or job.left_ms(self._now()) > 50.0
@@ -148,6 +171,7 @@
             connection = await self._pool.acquire(upstream.address)
         except UpstreamNotReachedError:
             self._limits.return_permit(picked.permit)
+            self._reach.record_failure(job.service)
             self._record_failure(upstream, unreached=True)
             job.excluded_upstreams.add(upstream.name)
             return Outcome.NOT_REACHED
@@ -170,42 +194,22 @@
         self, job: Job, picked: PickResult, upstream: Upstream, connection: UpstreamConnection
     ) -> Outcome:
         now = self._now()
-        job.last_sent_at = now
-        job.resumed = job.sink.forwarding_started
+        prepare_exchange(job, now)
         attempt = Attempt(
             tokens=picked.uncached_tokens,
             priority=job.route.priority,
             sent_at=now,
             long_running=job.long_running,
         )
-        job.sink.reset()
-        job.attempt_first_byte_at = 0.0
-        job.sink.on_head = lambda: self._limits.record_answer(upstream, job.sink.headers)
+        job.sink.on_head = lambda: self._record_head(job, upstream)
         job.sink.on_first_byte = lambda: self._record_first_byte(job, picked, upstream, attempt)
         upstream.begin(attempt)
         born = upstream.entry.born
         self._quarantine.begin(job, upstream)
+        self._reach.record_send(job.service)
         if job.generation is not None:
             upstream.cache.add(job.item, job.generation.prompt_parts)
-        if job.cancellable:
-            job.connection.on_disconnect = connection.cancel
-        job.running = True
-        exchange_end = connection.exchange(
-            job.request.method,
-            job.request.target,
-            self._headers(job, upstream, now),
-            job.request.body,
-            job.sink,
-        )
-        job.on_timeout = connection.cancel if job.cancellable else None
-        last_end = self._call_later(job.deadline + LATE_ANSWER_S - now, connection.cancel)
-        end = await exchange_end
-        if last_end.active():
-            last_end.cancel()
-        job.running = False
-        job.on_timeout = None
-        if not job.done:
-            job.connection.on_disconnect = None
+        end = await exchange(self._reactor, job, connection, self._headers(job, upstream, now))
         upstream.end(attempt)
         self._pool.release(upstream.address, connection)
         outcome = self._classify_outcome(job, upstream, end)
@@ -216,21 +220,25 @@
         return outcome
 
     def _headers(self, job: Job, upstream: Upstream, now: float) -> names.Headers:
-        has_body = job.request.body or job.request.method not in METHODS_USUALLY_WITHOUT_BODY
         return build_request_headers(
             job.headers,
             upstream_name=upstream.name,
             left_ms=job.left_ms(now) - UPSTREAM_DEADLINE_MARGIN_MS,
             engine_priority=job.route.priority if job.generation is not None else None,
             resume_after=job.sink.events.last_id if job.sink.forwarding_started else None,
-            body_bytes=len(job.request.body) if has_body else None,
+            body_bytes=count_body_bytes(job),
         )
 
+    def _record_head(self, job: Job, upstream: Upstream) -> None:
+        self._reach.record_heard(job.service)
+        self._limits.record_answer(upstream, job.sink.headers)
+
     def _classify_outcome(self, job: Job, upstream: Upstream, end: ExchangeEnd) -> Outcome:
         sink = job.sink
         if end is ExchangeEnd.CANCELLED:
             return Outcome.CALLER_GONE if job.connection.disconnected else Outcome.TIMED_OUT
         if end is not ExchangeEnd.COMPLETE:
+            self._reach.record_failure(job.service)
             return Outcome.UNKNOWN
         if not sink.identified:
             # It may be a late second answer to an earlier request on the connection.
@@ -354,6 +362,8 @@
         else:
             timed_out = Outcome.TIMED_OUT in job.outcomes or job.running
             answer = local_answers.build_failure(504 if timed_out else 502, job.request_id, reason)
+        if job.is_detour:
+            answer = local_answers.mark_for_peer(answer, ran=ran)
         job.connection.answer(*answer)
 
     def _answer_at_deadline(self, job: Job) -> None:
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -15,6 +15,7 @@
 from behave import when
 from twisted.internet.defer import Deferred
 
+from cactusshunt.detour.service_reach import ServiceReach
 from cactusshunt.membership.messages import DemandReport
 from cactusshunt.membership.messages import LimitReport
 from cactusshunt.membership.messages import PermitGrant
@@ -47,6 +48,8 @@
     "on_timeout": None,
     "attempt_first_byte_at": 0.0,
     "retry_after_s": 0.3,
+    "is_detour": False,
+    "digest": "a",
 }
 
 
@@ -213,6 +216,10 @@
             link=vm.link,
             store=SimpleNamespace(),  # type: ignore[arg-type]
         ),
+        reach=ServiceReach(
+            reactor=vm.reactor, pool=pool, directory=vm.directory  # type: ignore[arg-type]
+        ),
+        detour=SimpleNamespace(is_needed=lambda job: False),  # type: ignore[arg-type]
     )
     job = make_job(5)
     for name, value in RELAYED_JOB.items():
--- a/tests/steps/simulated_quarantine.py
+++ b/tests/steps/simulated_quarantine.py
@@ -45,7 +45,9 @@
     address: tuple[str, int] = ("", 0)
     ready: bool = True
     removed_at: float | None = None
-    entry: Any = field(default_factory=lambda: SimpleNamespace(born=1, version="1"))
+    entry: Any = field(
+        default_factory=lambda: SimpleNamespace(born=1, version="1", service=SERVICE)
+    )
     failure_history: Any = field(default_factory=FailureHistory)
     open_attempts: list[Any] = field(default_factory=list)
 
@@ -90,10 +92,11 @@
             reactor=clock,
             vm=vm,
             pool=SimpleNamespace(  # type: ignore[arg-type]
-                acquire=self._acquire, release=lambda address, connection: None
+                open=self._open, release=lambda address, connection: None
             ),
             directory=SimpleNamespace(  # type: ignore[arg-type]
                 of_service=lambda name: self.engines,
+                all=lambda: self.engines,
                 usable=lambda name: [found for found in self.engines if found.alive],
             ),
             link=link,
@@ -118,7 +121,7 @@
                 item = StoredItem(key=key, value=value, revision=1)
                 self.clock.callLater(STORE_S, quarantine.apply_stored_item, item)
 
-    async def _acquire(self, address: tuple[str, int]) -> Any:
+    async def _open(self, address: tuple[str, int]) -> Any:
         await self._pause(HOP_S)
         if any(engine.alive and engine.address == address for engine in self.engines):
             return SimpleNamespace(usable=True)
