Reproduce upstreams that fall over when they turn requests away

A plain instance of the stand-in says Server-Brittle: 3, has room for 10 requests of 0.3 s and falls over when it turns more than 3 away in a second.

--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -191,6 +191,11 @@
         """Name a path of requests under which an upstream dies; ``None`` ends it."""
         call(self.upstream_ports[upstream], "POST", "/test/deadly", {"path": path})
 
+    def make_brittle(self, upstream: str, *, per_s: int, room: int, work_s: float) -> None:
+        """Make a plain instance fall over when it turns too many requests away in a second."""
+        body = {"per_s": per_s, "room": room, "work_s": work_s}
+        call(self.upstream_ports[upstream], "POST", "/test/brittle", body)
+
     def name_limit(self, engine: str, value: str | None, every: int = 1) -> None:
         """Make an upstream name a request limit in every ``every``-th answer; ``None`` ends it."""
         call(self.upstream_ports[engine], "POST", "/test/limit", {"value": value, "every": every})
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -18,6 +18,11 @@
 and IDs of requests that arrived with the part or path, and ``crashes``, their times. Plain answers
 take ``WORK_S`` while a path is deadly.
 
+``POST /test/brittle`` makes a plain instance name ``per_s`` in ``Server-Brittle``. Its answers then
+take ``work_s``; above ``room`` requests at once it turns one away with 503, and it falls over, like
+under a deadly part, when it has turned more than ``per_s`` away within a second. ``falls`` are
+their times.
+
 ``POST /test/limit`` sets the text of ``Server-Limit`` in every ``every``-th answer from then on;
 ``null`` ends it. ``GET /test/runs`` lists the IDs of the requests that ran, and under ``arrivals``
 ID, time and whether the answer names a limit of each request that arrived; standard output has a
@@ -91,6 +96,10 @@
         self._back_s = 2.0
         self._deadly: list[tuple[float, str]] = []
         self._crashes: list[float] = []
+        self._brittle: dict[str, Any] | None = None
+        self._brittle_running = 0
+        self._turned_away: list[float] = []
+        self._falls: list[float] = []
         self._alive = True
         self.listen: Callable[[], IListeningPort] | None = None
         self._port: IListeningPort | None = None
@@ -118,6 +127,7 @@
         self._alive = True
         self._born = int(time.time() * 1000)
         self._models, self._sequence, self._busy = [], 0, False
+        self._brittle_running = 0
         self.open_port()
         self.register()
 
@@ -158,6 +168,9 @@
             self._deadly_part, self._deadly_path = body.get("part"), body.get("path")
             self._back_s = float(body.get("back_s", 2.0))
             return {}
+        if path == "/test/brittle":
+            self._brittle = read_json(request)
+            return {}
         if path == "/test/limit":
             body = read_json(request)
             self._limit, self._limit_every = body["value"], int(body.get("every", 1))
@@ -169,6 +182,8 @@
                 "cancelled": self._cancelled,
                 "deadly": self._deadly,
                 "crashes": self._crashes,
+                "falls": self._falls,
+                "turned_away": len(self._turned_away),
                 "overcommitted": self.overcommitted,
             }
         request_id = request.getHeader("X-Request-Id")
@@ -223,6 +238,8 @@
             print("deadly", request_id, time.time(), flush=True)
             reactor.callLater(2 * EVENT_INTERVAL_S, self._die, request_id, self._back_s)
         self._name_limit(request, request_id)
+        if self._brittle is not None and not self._takes_brittle(request, self._brittle):
+            return encode_answer(request, {}, 503)
         model = request.getHeader("X-Model")
         if model is not None and model not in self._models:
             return encode_answer(request, {}, 421)
@@ -251,12 +268,34 @@
 
     def _answer_plainly(self, request: Request, request_id: str) -> Any:
         answer = {"id": request_id, "by": self._name}
+        if self._brittle is not None:
+            reactor.callLater(float(self._brittle["work_s"]), self._finish_brittle, request, answer)
+            return NOT_DONE_YET
         if self._deadly_path is None:
             return encode_answer(request, answer)
         if not self._is_deadly(request):
             reactor.callLater(WORK_S, send_answer, request, answer)
         return NOT_DONE_YET
 
+    def _takes_brittle(self, request: Request, brittle: dict[str, Any]) -> bool:
+        """Return whether there is room for a request; fall over if too many were turned away."""
+        request.setHeader("Server-Brittle", str(brittle["per_s"]))
+        if self._brittle_running < brittle["room"]:
+            self._brittle_running += 1
+            return True
+        now = time.time()
+        self._turned_away.append(now)
+        request.setHeader("X-Not-Executed", "1")
+        if sum(at > now - 1.0 for at in self._turned_away) > brittle["per_s"]:
+            self._falls.append(now)
+            print("fall", self._name, now, flush=True)
+            reactor.callLater(0.0, self._die, "", self._back_s)
+        return False
+
+    def _finish_brittle(self, request: Request, answer: dict[str, Any]) -> None:
+        self._brittle_running = max(0, self._brittle_running - 1)
+        send_answer(request, answer)
+
     def _is_deadly(self, request: Request) -> bool:
         parts = [
             part.split(":")[0] for part in (request.getHeader("X-Prompt-Prefix") or "").split(",")
