Send brittle upstreams no more requests than they have slots

Cause: nothing read Server-Brittle; each VM sends to the upstream with the fewest requests by reports some tenths of a second old, and what the upstream turns away is sent to the next one.

Change: a VM uses its equal part of a brittle upstream's slots, more only while half of them are free; other requests wait at the VM; a rejection lets the VM rest for that upstream.

--- a/src/cactusshunt/limits/request_limits.py
+++ b/src/cactusshunt/limits/request_limits.py
@@ -23,6 +23,7 @@
 from cactusshunt.limits.limited_upstream import LimitedUpstream
 from cactusshunt.limits.permit_issuer import PERMIT_LIFETIME_S
 from cactusshunt.limits.permit_service import PermitService
+from cactusshunt.limits.upstream_room import UpstreamRoom
 from cactusshunt.membership.messages import LimitReport
 from cactusshunt.membership.messages import PermitGrant
 from cactusshunt.membership.messages import PermitRequest
@@ -74,6 +75,7 @@
         self._vm = vm
         self._directory = directory
         self._link = link
+        self.room = UpstreamRoom(clock=reactor.seconds, count_vms=lambda: 1 + len(self._link.peers))
         self._register = LimitRegister(vm=vm)
         self._chooser = IssuerChooser(vm=vm)
         self._limited: dict[str, LimitedUpstream] = {}
@@ -105,10 +107,11 @@
         return self._limited
 
     def record_answer(self, upstream: Upstream, headers: Headers) -> None:
-        """Learn from the head of an answer of an upstream whether it names a limit."""
+        """Learn from the head of an answer what the upstream says of its limits."""
         instance = names.find_header(headers, names.INSTANCE_ID)
         if instance is not None and instance != upstream.name.encode():
             return
+        self.room.record_answer(upstream, headers)
         try:
             per_s = names.read_request_limit(headers)
         except HeaderValueError as error:
--- a/src/cactusshunt/platform/headers.py
+++ b/src/cactusshunt/platform/headers.py
@@ -18,6 +18,7 @@
 NOT_RUN = b"x-not-executed"  # set by an upstream that did not run the request; any value
 SERVER_LOAD = b"x-server-load"  # running requests, waiting requests, slots
 REQUEST_LIMIT = b"server-limit"  # requests a second that an upstream takes from all VMs together
+BRITTLE = b"server-brittle"  # requests a second that an upstream may turn away before it ends
 MODEL = b"x-model"  # MODEL or MODEL/ADAPTER
 TOKEN_COUNT = b"x-token-count"  # prompt tokens, maximum output tokens
 PROMPT_PREFIX = b"x-prompt-prefix"  # ID:TOKENS of each part; those shared with other prompts first
@@ -68,6 +69,7 @@
 """Refusals; if ``x-not-executed`` is missing, they count as a request that may have run."""
 
 Headers = list[tuple[bytes, bytes]]
+MAX_NUMBER_LENGTH = 12  # digits
 _DECIMAL_NUMBER = re.compile(rb"\d{1,12}(\.\d{1,12})?")
 
 
@@ -110,6 +112,22 @@
     return DetourOrigin(vm=vm.decode("latin-1"), configuration_version=int(version))
 
 
+def read_brittleness(headers: Headers) -> int | None:
+    """Return how many requests a second an upstream may turn away; ``None`` if it names none.
+
+    Raises ``HeaderValueError`` for anything but a whole number.
+    """
+    value = find_header(headers, BRITTLE)
+    if value is None:
+        return None
+    if not value.strip().isdigit() or len(value) > MAX_NUMBER_LENGTH:
+        raise HeaderValueError(
+            reason=f"Server-Brittle is {value[:40]!r}, not a whole number.",
+            remedy="What was named before, if anything, stays in force for its time.",
+        )
+    return int(value)
+
+
 def read_request_limit(headers: Headers) -> float | None:
     """Return the limit that an answer names, in requests a second; ``None`` if it names none.
 
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -184,6 +184,10 @@
             # The permit ended, or the limit became known, while the connection was opened.
             self._pool.release(upstream.address, connection)
             return Outcome.NOT_REACHED
+        if not self._limits.room.has_room(upstream):
+            self._pool.release(upstream.address, connection)
+            self._limits.return_permit(picked.permit)
+            return Outcome.NOT_REACHED
         if not self._quarantine.may_send(job, upstream):
             self._pool.release(upstream.address, connection)
             self._limits.return_permit(picked.permit)
@@ -248,6 +252,7 @@
             self._record_absence(job, upstream, sink.headers)
             return Outcome.ABSENT
         if names.find_header(sink.headers, names.NOT_RUN) is not None:
+            self._limits.room.record_turned_away(upstream)
             return Outcome.NOT_RUN
         if sink.succeeded:
             if job.route.streams and sink.events.incomplete:
--- a/src/cactusshunt/requests/upstream_picker.py
+++ b/src/cactusshunt/requests/upstream_picker.py
@@ -41,6 +41,8 @@
     from cactusshunt.requests.job import Job
     from cactusshunt.routing.upstream_directory import UpstreamDirectory
 
+NO_ROOM = Refusal(reason="brittle upstreams have no room", retry_after_s=0.3)
+ROOM_RECHECK_INTERVAL_S = 0.03
 RECHECK_INTERVAL_S = 0.1  # waiting requests also check the upstreams after each change of one
 
 
@@ -118,7 +120,19 @@
             deferred.callback(None)
 
     async def pick(self, job: Job) -> PickResult:
-        """Return the upstream of the next attempt, waiting for a load or permit if necessary."""
+        """Return the upstream of the next attempt, waiting for room, a load or a permit."""
+        now = self._now()
+        room_ends_at = now + self._find_latency_limit_ms(job, now) / 1000.0
+        picked = await self._pick_once(job)
+        while picked.refusal is NO_ROOM and self._now() < room_ends_at:
+            if job.done or job.connection.disconnected:
+                return _IGNORED
+            await self._wait_for_change(ROOM_RECHECK_INTERVAL_S, job.route.priority)
+            picked = await self._pick_once(job)
+        return picked
+
+    async def _pick_once(self, job: Job) -> PickResult:
+        """Return an upstream, waiting for a load or permit, or that none has room."""
         picked = self._choose(job)
         while picked is None or picked.awaits_permit is not None:
             limited = picked.awaits_permit if picked is not None else None
@@ -233,7 +247,11 @@
 
     def _pick_service_upstream(self, job: Job) -> PickResult:
         now = self._now()
-        usable = self._prefer_healthy(self._directory.usable(job.service), job, now)
+        known = self._directory.usable(job.service)
+        with_room = [found for found in known if self._limits.room.has_room(found)]
+        if known and not with_room:
+            return PickResult(refusal=NO_ROOM)
+        usable = self._prefer_healthy(with_room, job, now)
         if not usable:
             return PickResult(refusal=Refusal(reason="no upstream", retry_after_s=0.3))
         candidates = [self._make_candidate(found, job, now) for found in usable]
@@ -255,7 +273,10 @@
             for found in self._directory.usable(job.service)
             if found.holds(job.generation.model, job.generation.adapter, now)
         ]
-        usable = self._prefer_healthy(holders, job, now)
+        with_room = [found for found in holders if self._limits.room.has_room(found)]
+        if holders and not with_room:
+            return PickResult(refusal=NO_ROOM)
+        usable = self._prefer_healthy(with_room, job, now)
         if not usable:
             return None
         candidates = {found.name: self._make_candidate(found, job, now) for found in usable}
--- a/src/cactusshunt/routing/upstream.py
+++ b/src/cactusshunt/routing/upstream.py
@@ -77,6 +77,7 @@
         self.address: Address = split_address(entry.address)
         self.removed_at: float | None = None
         self.request_limit_per_s: float | None = None  # of all VMs together
+        self.turned_away_until = 0.0  # rest of a brittle upstream that turned a request away
         self.held = HeldItems()
         self.missing_at_version: dict[str, int] = {}
         self.failure_history = FailureHistory()
