Count only failed connections before a request is passed on

A request that was not sent for lack of a permit, of room or of a verdict counted as well, so that two such waits passed it on to another VM although nothing was cut. By reading; no run has shown it.

--- a/src/cactusshunt/detour/detour.py
+++ b/src/cactusshunt/detour/detour.py
@@ -72,8 +72,8 @@
         """
         if job.is_detour:
             return False
-        unreached = job.outcomes.count(Outcome.NOT_REACHED)
-        if not self._reach.is_cut_off(job.service) and unreached < UNREACHED_BEFORE_DETOUR:
+        is_cut_off = self._reach.is_cut_off(job.service)
+        if not is_cut_off and job.unreached < UNREACHED_BEFORE_DETOUR:
             return False
         return bool(self._list_helpers(job))
 
--- a/src/cactusshunt/requests/job.py
+++ b/src/cactusshunt/requests/job.py
@@ -46,8 +46,8 @@
     before; ``attempt_first_byte_at`` is the same for the latest attempt, 0 before.
     ``permit_wait`` is set while the request waits for a permit of a limited upstream.
     ``probe_upstreams`` are the only ones to send it to if it may crash its upstream, else ``None``;
-    ``is_detour`` means that another VM passed it on; ``digest`` identifies what the caller sent,
-    once it is needed.
+    ``is_detour`` means that another VM passed it on; ``unreached`` counts connections to upstreams
+    that failed for it; ``digest`` identifies what the caller sent, once it is needed.
     """
 
     request: ReceivedRequest
@@ -72,6 +72,7 @@
     permit_wait: PermitWait | None = None
     probe_upstreams: frozenset[str] | None = None
     is_detour: bool = False
+    unreached: int = 0
     digest: str | None = None
 
     @property
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -172,6 +172,7 @@
         except UpstreamNotReachedError:
             self._limits.return_permit(picked.permit)
             self._reach.record_failure(job.service)
+            job.unreached += 1
             self._record_failure(upstream, unreached=True)
             job.excluded_upstreams.add(upstream.name)
             return Outcome.NOT_REACHED
