Cut nodes off and make instances brittle in the soak

Some nodes lose their links to all upstreams at once, in three ways; instances of plain services say that they are brittle for half a run. Both are checked while nothing else disturbs.

--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -196,6 +196,10 @@
         body = {"per_s": per_s, "room": room, "work_s": work_s}
         call(self.upstream_ports[upstream], "POST", "/test/brittle", body)
 
+    def end_brittle(self, upstream: str) -> None:
+        """Let a plain instance turn requests away as it likes again."""
+        call(self.upstream_ports[upstream], "POST", "/test/brittle", {})
+
     def name_limit(self, engine: str, value: str | None, every: int = 1) -> None:
         """Make an upstream name a request limit in every ``every``-th answer; ``None`` ends it."""
         call(self.upstream_ports[engine], "POST", "/test/limit", {"value": value, "every": every})
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -30,7 +30,9 @@
 from soak.guarantees import ObservedVersion
 from soak.guarantees import find_violations
 from soak.schedule import Fault
+from soak.schedule import draw_brittle
 from soak.schedule import draw_copies
+from soak.schedule import draw_cuts
 from soak.schedule import draw_deadly
 from soak.schedule import draw_faults
 from soak.schedule import draw_limits
@@ -44,6 +46,13 @@
     "link_cut_up": LinkMode.CUT_TO_SERVER,
     "link_cut_down": LinkMode.CUT_FROM_SERVER,
 }
+# mode of the links, and whether open connections are reset
+CUT_MODES = {
+    "cut_silent": (LinkMode.SILENT, False),
+    "cut_reset": (LinkMode.REFUSE, True),
+    "cut_refuse": (LinkMode.REFUSE, False),
+}
+BRITTLE_PER_S, BRITTLE_ROOM, BRITTLE_WORK_S = 2, 10, 0.1
 DEADLY_REPEAT_S = 0.3
 RESTART_DELAY_S = 0.3  # imitates a platform that restarts ended processes
 COOL_DOWN_S = 4.0  # lets open requests finish at the end of a run
@@ -89,6 +98,8 @@
             runs=self._read_runs(),
             limited=self._read_limited(),
             deadly=self._read_deadly(),
+            falls=self._read_falls(),
+            instances=sum(name.startswith("s") for name in self._fleet.upstream_ports),
             faults=self._faults,
             versions=self._versions,
             configured=self._configured,
@@ -125,6 +136,10 @@
             self._drain(fault)
         elif kind == "limit":
             self._limit(fault)
+        elif kind in CUT_MODES:
+            self._cut_off(fault)
+        elif kind == "brittle":
+            self._make_brittle(fault)
         elif kind == "deadly":
             self._make_deadly(
                 fault, "e", lambda name: self._fleet.set_deadly_part(name, DEADLY_PART)
@@ -163,6 +178,28 @@
         except OSError:  # the upstream was killed, and starts again without a limit
             return
 
+    def _cut_off(self, fault: Fault) -> None:
+        mode, resets = CUT_MODES[fault.kind]
+        self._fleet.cut_off(fault.target, mode)
+        if resets:
+            self._fleet.reset(fault.target)
+        time.sleep(fault.duration_s)
+        self._fleet.cut_off(fault.target, LinkMode.NORMAL)
+
+    def _make_brittle(self, fault: Fault) -> None:
+        """Let all instances say that they are brittle, also those that start again."""
+        instances = [name for name in self._fleet.upstream_ports if name.startswith("s")]
+        while time.time() < fault.ends_at:
+            for name in instances:
+                with suppress(OSError):
+                    self._fleet.make_brittle(
+                        name, per_s=BRITTLE_PER_S, room=BRITTLE_ROOM, work_s=BRITTLE_WORK_S
+                    )
+            time.sleep(DEADLY_REPEAT_S)
+        for name in instances:
+            with suppress(OSError):
+                self._fleet.end_brittle(name)
+
     def _make_deadly(self, fault: Fault, prefix: str, name_cause: Callable[[str], None]) -> None:
         """Name the cause to all upstreams until the end, also to those that start again."""
         upstreams = [name for name in self._fleet.upstream_ports if name.startswith(prefix)]
@@ -233,6 +270,14 @@
             if len(fields) == 4 and fields[0] == "limited"
         ]
 
+    def _read_falls(self) -> list[float]:
+        return [
+            float(line.split()[2])
+            for name in self._fleet.upstream_ports
+            for line in self._fleet.read_log(name).splitlines()
+            if line.startswith("fall ")
+        ]
+
     def _read_deadly(self) -> list[DeadlyEvent]:
         return [
             DeadlyEvent(
@@ -262,6 +307,8 @@
     faults = draw_faults(seed, minutes * 60.0, list(fleet.caller_ports), list(fleet.upstream_ports))
     faults += draw_copies(seed, minutes * 60.0)
     faults += draw_deadly(seed, minutes * 60.0)
+    faults += draw_cuts(seed, minutes * 60.0, list(fleet.caller_ports))
+    faults.append(draw_brittle(seed, minutes * 60.0))
     faults += draw_limits(seed, minutes * 60.0, list(fleet.upstream_ports))
     threads = [
         Caller(fleet=fleet, rng=random.Random(f"{seed}/{number}")) for number in range(callers)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -23,6 +23,9 @@
 TOLD_S = 0.5  # a node knows a limit this long after its first request that was answered with it
 CRASHES_ALLOWED = {"part": 5, "request": 3}  # under each cause, before requests with it count
 LATE_DEADLY_ALLOWED = 3
+CUT_SHARE = 2.0 / 3.0  # of the share that is served at the other nodes
+MIN_RESULTS = 20
+ALLOWED_FALLS = 2
 STOP_GRACE_S = 6.0  # graceS in the nodes' settings
 
 
@@ -70,7 +73,8 @@
     """What a soak test observed; all times, also those of faults, are in Unix seconds.
 
     ``overcommitted`` names upstreams that were ordered to load more than fits. ``configured`` holds
-    when the operator had written which configuration version.
+    when the operator had written which configuration version; ``falls`` when one of the
+    ``instances`` of plain services fell over because it turned requests away.
     """
 
     results: Sequence[RequestResult]
@@ -82,6 +86,8 @@
     configured: Sequence[tuple[float, int]] = ()
     limited: Sequence[LimitedArrival] = ()
     deadly: Sequence[DeadlyEvent] = ()
+    falls: Sequence[float] = ()
+    instances: int = 0
 
 
 def find_violations(observations: Observations) -> list[str]:
@@ -94,6 +100,8 @@
         *_check_versions(observations),
         *_check_limits(observations),
         *_check_deadly(observations),
+        *_check_cuts(observations),
+        *_check_falls(observations),
         *(f"memory of {name} was overcommitted" for name in observations.overcommitted),
         *(f"process {name} ended with an error" for name in observations.failed_processes),
     ]
@@ -145,7 +153,7 @@
         if stop.kind != "node_stop":
             continue
         begins, ends = stop.at - SETTLE_S, stop.at + STOP_GRACE_S
-        if _has_other_fault(observations, begins, ends, ignored=stop):
+        if _has_other_fault(observations, begins, ends, ignored=[stop]):
             continue
         for found in observations.results:
             cut = found.node == stop.target and not found.status
@@ -230,6 +238,47 @@
     return violations
 
 
+def _check_cuts(observations: Observations) -> list[str]:
+    """Check that nodes that are cut off from all upstreams serve their callers.
+
+    Requests count from 3 s after a cut began, while nothing else disturbs any node.
+    """
+    cuts = [fault for fault in observations.faults if fault.kind.startswith("cut_")]
+    served: dict[bool, list[bool]] = {True: [], False: []}
+    for found in observations.results:
+        current = [
+            cut
+            for cut in cuts
+            if cut.at + SETTLE_S < found.started_at < found.ended_at < cut.ends_at
+        ]
+        begins = found.started_at - SETTLE_S
+        if current and not _has_other_fault(observations, begins, found.ended_at, ignored=cuts):
+            is_cut = any(cut.target == found.node for cut in current)
+            served[is_cut].append(found.status == 200 and found.complete)
+    there, others = served[True], served[False]
+    if min(len(there), len(others)) < MIN_RESULTS:
+        return []
+    allowed = CUT_SHARE * sum(others) / len(others)
+    failed = len(there) - sum(there)
+    if sum(there) / len(there) >= allowed or failed <= 10 + (len(there) + len(others)) / 50:
+        return []
+    return [f"nodes that were cut off served {sum(there)} of {len(there)} requests"]
+
+
+def _check_falls(observations: Observations) -> list[str]:
+    """Check how often instances fell over, from 3 s after they said that they are brittle."""
+    brittle = [fault for fault in observations.faults if fault.kind == "brittle"]
+    falls = [
+        at
+        for at in observations.falls
+        if any(fault.at + SETTLE_S < at < fault.ends_at for fault in brittle)
+        and not _has_other_fault(observations, at - SETTLE_S, at)
+    ]
+    if len(falls) <= ALLOWED_FALLS + observations.instances / 10:
+        return []
+    return [f"brittle instances fell over {len(falls)} times"]
+
+
 def _is_disturbed(observations: Observations, node: str | None, begins: float, ends: float) -> bool:
     """Return whether a fault of a node or of the store may affect the time span."""
     return any(
@@ -240,12 +289,12 @@
 
 
 def _has_other_fault(
-    observations: Observations, begins: float, ends: float, ignored: Fault | None = None
+    observations: Observations, begins: float, ends: float, ignored: Sequence[Fault] = ()
 ) -> bool:
     """Return whether a fault other than planned work and ``ignored`` may affect the time span."""
-    planned = ("configuration", "drain", "deadly", "deadly_path")
+    planned = ("configuration", "drain", "deadly", "deadly_path", "brittle")
     return any(
         fault.at < ends and fault.ends_at + SETTLE_S > begins
         for fault in observations.faults
-        if fault is not ignored and fault.kind not in planned
+        if fault not in ignored and fault.kind not in planned
     )
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -29,6 +29,9 @@
 COPY_GAP_S = 12.0
 MAX_COPY_AGE_S = 5.0
 DEADLY_BEGIN = (0.2, 0.5)  # parts of a run in which upstreams begin to die of requests
+CUT_KINDS = ("cut_silent", "cut_reset", "cut_refuse")
+CUT_GAP_S = 15.0
+CUT_DURATION_S = (4.0, 9.0)
 AWAY_S = (0.05, 0.3, 1.5)
 LIMITS_PER_S = (1.0, 3.0, 8.0)  # callers send tens of requests a second to each upstream
 LIMIT_GAP_S = 4.0
@@ -128,6 +131,27 @@
     ]
 
 
+def draw_cuts(seed: int, seconds: float, nodes: list[str]) -> list[Fault]:
+    """Return when some nodes lose their links to all upstreams; several at once, in one way."""
+    rng = random.Random(f"{seed}/cuts")
+    cuts = []
+    at = rng.uniform(0.0, CUT_GAP_S)
+    while at < seconds:
+        kind = rng.choice(CUT_KINDS)
+        duration_s = rng.uniform(*CUT_DURATION_S)
+        for node in rng.sample(nodes, rng.randint(1, len(nodes) - 1)):
+            cuts.append(Fault(at=at, kind=kind, target=node, duration_s=duration_s))
+        at += duration_s + rng.uniform(1.0, CUT_GAP_S)
+    return cuts
+
+
+def draw_brittle(seed: int, seconds: float) -> Fault:
+    """Return when the instances of plain services say that they are brittle."""
+    rng = random.Random(f"{seed}/brittle")
+    begin = rng.uniform(0.0, 0.5 * seconds)
+    return Fault(at=begin, kind="brittle", target="upstreams", duration_s=0.5 * seconds)
+
+
 def _draw_target(rng: random.Random, kind: str, nodes: list[str], upstreams: list[str]) -> str:
     if kind.startswith("node"):
         return rng.choice(nodes)
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -169,7 +169,7 @@
             self._back_s = float(body.get("back_s", 2.0))
             return {}
         if path == "/test/brittle":
-            self._brittle = read_json(request)
+            self._brittle = read_json(request) or None  # an empty body ends it
             return {}
         if path == "/test/limit":
             body = read_json(request)
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -24,6 +24,8 @@
       | a limited service got 12 requests in 4 s      |
       | a part under which 5 engines crashed reached 4 more |
       | a request under which 3 upstreams crashed reached 4 more |
+      | a node that was cut off served nothing        |
+      | brittle instances fell over 3 times           |
       | a node ended with an error                    |
 
   Scenario: The same seed draws the same faults
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -119,6 +119,18 @@
                 for kind in (("deadly", "crash") if number < 3 else ("deadly",))
             ]
         },
+        "a node that was cut off served nothing": {
+            "faults": [Fault(at=START, kind="cut_reset", target="n2", duration_s=70.0)],
+            "results": [
+                result(number, node=f"n{1 + number % 2}", status=200 if number % 2 == 0 else 502)
+                for number in range(60)
+            ],
+        },
+        "brittle instances fell over 3 times": {
+            "faults": [Fault(at=START, kind="brittle", target="upstreams", duration_s=30.0)],
+            "falls": [START + 5.0, START + 8.0, START + 11.0],
+            "instances": 2,
+        },
         "a node ended with an error": {"failed_processes": ["n1 (1)"]},
     }
     for row in context.table:
