Tell VMs of other zones which services are reached, in large fleets

In a fleet of 17 VMs or more the status goes to the own zone only, so that a zone whose VMs are all cut off had nobody to pass requests on to. One VM of each other zone, drawn anew, hears of it each second. A VM that is cut off as well refuses at once what others pass on.

--- a/src/cactusshunt/detour/service_reach.py
+++ b/src/cactusshunt/detour/service_reach.py
@@ -36,7 +36,8 @@
 PROBE_TIMEOUT_S = 0.4
 PROBE_INTERVAL_S = 0.4
 PROBED_UPSTREAMS = 3  # at once
-PEER_WORD_LIFETIME_S = 1.0  # five reports
+HEARD_LIFETIME_S = 1.0  # for which a service counts as reached for the other VMs
+PEER_WORD_LIFETIME_S = 2.0  # two reports to VMs of other zones in a large fleet
 DEFAULT_HEALTH_PATH = "/healthz"
 
 
@@ -113,7 +114,7 @@
 
     def list_reached(self) -> list[str]:
         """Return the services whose upstreams were heard of late, for the other VMs."""
-        since = self._now() - PEER_WORD_LIFETIME_S
+        since = self._now() - HEARD_LIFETIME_S
         return [name for name, found in self._services.items() if found.heard_at > since]
 
     def list_cut_off(self) -> list[str]:
--- a/src/cactusshunt/membership/announcer.py
+++ b/src/cactusshunt/membership/announcer.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import random
+
 from typing import TYPE_CHECKING
 from typing import Any
 
+from cactusshunt.membership.broadcast import choose_forwarders
 from cactusshunt.membership.messages import DemandReport
 from cactusshunt.membership.messages import EngineWork
 from cactusshunt.membership.messages import ItemDemand
@@ -21,6 +24,7 @@
     from cactusshunt.routing.upstream_directory import UpstreamDirectory
 
 STATUS_INTERVAL_S = 0.2  # a usual prompt's prefill takes about half of it
+REACH_INTERVAL_S = 1.0
 DEMAND_INTERVAL_S = 0.4  # short, since demand moves between models within seconds
 NEW_VERSION_REPORTS = 3  # that mention a new configuration, since datagrams may be lost
 RECENT_ITEM_S = 2.5 * DEMAND_INTERVAL_S  # a request is in two reports, since one may be lost
@@ -60,6 +64,7 @@
         self._list_reached_services = list_reached_services
         self._handle_demand = handle_demand
         self._plan_now = plan_now
+        self._random = random.Random(vm)  # VMs that start together choose different peers
         self._status_number = 0
         self._reported_holder: str | None = None
         self._other_items_reported = 0
@@ -111,6 +116,32 @@
             status, list(self._link.peers) if to_all else self._list_peers_in_own_zone()
         )
 
+    def send_reach(self) -> None:
+        """Tell one VM of each other zone which services this VM reaches, in a large fleet.
+
+        A zone whose VMs are all cut off from the upstreams needs VMs of other zones. While the
+        store is silent they get whole reports anyway.
+        """
+        reached = self._list_reached_services()
+        silent_s = self._membership.store_silent_s(self._reactor.seconds())
+        if not reached or not self._link.is_large_fleet or silent_s >= STORE_SILENCE_S:
+            return
+        zones = {
+            vm: peer.record.availability_zone
+            for vm, peer in self._link.peers.items()
+            if peer.record.availability_zone != self._zone
+        }
+        self._status_number += 1
+        status = Status(
+            vm=self._vm,
+            status_number=self._status_number,
+            store_silent_ms=int(silent_s * 1000),
+            work=[],
+            configuration_version=self._configuration_version,
+            reached_services=reached,
+        )
+        self._link.send(status, choose_forwarders(zones, self._random.randrange(len(zones) + 1)))
+
     def send_demand(self) -> None:
         """Report the demand of this VM's callers to the order holder.
 
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -23,6 +23,7 @@
 from cactusshunt.http1.connection_pool import ConnectionPool
 from cactusshunt.limits.request_limits import RequestLimits
 from cactusshunt.membership.announcer import DEMAND_INTERVAL_S
+from cactusshunt.membership.announcer import REACH_INTERVAL_S
 from cactusshunt.membership.announcer import STATUS_INTERVAL_S
 from cactusshunt.membership.announcer import Announcer
 from cactusshunt.membership.membership_task import LEASE_S
@@ -268,6 +269,7 @@
         self._repeat(ORDER_TICK_INTERVAL_S, self._orders.tick)
         self._repeat(REACH_TICK_INTERVAL_S, self._reach.tick)
         self._repeat(STATUS_INTERVAL_S, self._announcer.send_status)
+        self._repeat(REACH_INTERVAL_S, self._announcer.send_reach)
         self._repeat(DEMAND_INTERVAL_S, self._announcer.send_demand)
         self._repeat(HOUSEKEEPING_INTERVAL_S, self._run_housekeeping)
         self._repeat(LOG_FLUSH_INTERVAL_S, flush_log)
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -130,6 +130,9 @@
 
     async def _try_upstream(self, job: Job) -> Outcome | None:
         """Return the outcome at an upstream, or ``None`` once the request is answered."""
+        if job.is_detour and self._reach.is_cut_off(job.service):
+            self._answer_locally(job, "this VM does not reach the service either")
+            return None
         block = await self._quarantine.admit(job)
         if block is not None:
             self._answer_blocked(job, block)
