Forward the final answers of the VM that a request was passed on to

A rejection (501) or a missing route (404) of that VM was taken for a failure of an upstream and, where the request may be repeated, sent on to another VM.

--- a/src/cactusshunt/detour/detour.py
+++ b/src/cactusshunt/detour/detour.py
@@ -32,7 +32,8 @@
 # The other VM gets this much less time than is left, so that its last answer can be forwarded.
 DEADLINE_MARGIN_MS = 20
 
-# What the other VM's own answer says of the request, by what it says and the status.
+# What the other VM's own answer says of the request, by what it says and the status. Any other one,
+# such as a rejection with 404 or 501, is final and is forwarded.
 _OUTCOMES: dict[tuple[bytes, int], Outcome] = {
     (names.DETOUR_NOT_RUN, 429): Outcome.NOT_RUN,
     (names.DETOUR_NOT_RUN, 503): Outcome.NOT_RUN,
@@ -152,7 +153,7 @@
         return Outcome.UNKNOWN
     said = names.find_header(sink.headers, names.DETOUR_RESULT)
     if said is not None:
-        return _OUTCOMES.get((said, sink.status), Outcome.FAILED)
+        return _OUTCOMES.get((said, sink.status), Outcome.ANSWERED)
     if sink.succeeded:
         unfinished = job.route.streams and sink.events.incomplete
         return Outcome.UNKNOWN if unfinished else Outcome.ANSWERED
