Say which services are reached only in statuses that are sent anyway

Cause: each VM sent its status five times a second also without work, since it had heard of a service.

--- a/src/cactusshunt/membership/announcer.py
+++ b/src/cactusshunt/membership/announcer.py
@@ -98,7 +98,7 @@
         silent_s = self._membership.store_silent_s(self._reactor.seconds())
         store_is_silent = silent_s >= STORE_SILENCE_S
         reached = self._list_reached_services()
-        is_due = self._reported_work or store_is_silent or self._version_reports_due or reached
+        is_due = self._reported_work or store_is_silent or self._version_reports_due
         if not work and not is_due:
             return
         self._version_reports_due = max(0, self._version_reports_due - 1)
