Refuse requests that wait for a model before their VM ends

Cause: a VM that was told to stop takes requests for 2.8 s more, and one that waits for its model waits up to 0.65 of its time, so with 10 s it still waited when the process ended, and its connection closed without an answer.

Change: 0.3 s before the process ends such requests get 503 with Retry-After. The scenario fails without it.

--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -286,6 +286,9 @@
         self._stopping_since = self._now()
         self._state.stopping = True
         self._callers.begin_stop(self._stopping_since)
+        self._picker.end_waits_at(
+            compute_serving_end(self._stopping_since, self._settings.bounds.grace_s)
+        )
         log_event("stop", in_flight=self._callers.in_flight)
         start_coroutine(self._membership.leave())
         self._repeat(0.05, self._end_when_idle)
--- a/src/cactusshunt/requests/upstream_picker.py
+++ b/src/cactusshunt/requests/upstream_picker.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from dataclasses import dataclass
@@ -41,6 +42,8 @@
     from cactusshunt.requests.job import Job
     from cactusshunt.routing.upstream_directory import UpstreamDirectory
 
+LAST_REFUSALS_RESERVE_S = 0.3  # time to send them before the process ends
+STOPPING_RETRY_AFTER_S = 0.1  # another VM can accept the request at once
 NO_ROOM = Refusal(reason="brittle upstreams have no room", retry_after_s=0.3)
 ROOM_RECHECK_INTERVAL_S = 0.03
 RECHECK_INTERVAL_S = 0.1  # waiting requests also check the upstreams after each change of one
@@ -106,6 +109,7 @@
         self._trigger_planning = trigger_planning
         self._random = random.Random()
         self._limits = limits
+        self._waits_end_at = math.inf
         self._waiting: dict[Deferred[None], int] = {}  # with the priorities of the requests
 
     @property
@@ -119,6 +123,15 @@
         for deferred in sorted(waiting, key=lambda deferred: waiting[deferred]):
             deferred.callback(None)
 
+    def end_waits_at(self, ends_at: float) -> None:
+        """Refuse what still waits shortly before the process ends, at a reactor time in s."""
+        self._waits_end_at = ends_at - LAST_REFUSALS_RESERVE_S
+
+    def _find_end_refusal(self) -> Refusal | None:
+        if self._now() < self._waits_end_at:
+            return None
+        return Refusal(reason="this VM is stopping", retry_after_s=STOPPING_RETRY_AFTER_S)
+
     async def pick(self, job: Job) -> PickResult:
         """Return the upstream of the next attempt, waiting for room, a load or a permit."""
         now = self._now()
@@ -199,7 +212,7 @@
             left_ms=int(left_ms),
         )
         while not job.done and not job.connection.disconnected:
-            refusal = check_placement_wait(
+            refusal = self._find_end_refusal() or check_placement_wait(
                 now=self._now(),
                 waiting_since=waiting_since,
                 left_ms=left_ms,
--- a/tests/requests/waiting.feature
+++ b/tests/requests/waiting.feature
@@ -12,6 +12,13 @@
     When a caller that waits 3000 ms requests the model
     Then the request is refused at once with a Retry-After of 0.5 s or more
 
+  Scenario: A request that waits for its model is refused before its VM ends
+    Given an engine that is expected to hold a model in 4000 ms
+    When a caller that waits 8000 ms requests the model
+    And the VM is to end in 2000 ms
+    Then after 1500 ms the request still waits
+    And after 500 ms more it is refused
+
   Scenario: The first send is not logged as resumed when an earlier upstream was not reached
     Given a request whose first upstream was not reached and whose second one streamed
     Then its attempt is logged as the first send and not as resumed
--- a/tests/steps/waiting_steps.py
+++ b/tests/steps/waiting_steps.py
@@ -107,6 +107,17 @@
     assert not context.picked, context.picked
 
 
+@when("the VM is to end in {ms:d} ms")
+def stop_vm(context: Any, ms: int) -> None:
+    context.picker.end_waits_at(context.clock.seconds() + ms / 1000.0)
+
+
+@then("after {ms:d} ms more it is refused")
+def check_refused_later(context: Any, ms: int) -> None:
+    context.clock.pump([0.05] * (ms // 50))
+    assert context.picked[0].refusal is not None, context.picked
+
+
 @when("the first engine is reported to hold the adapter")
 def report_adapter(context: Any) -> None:
     update(context, "e1", {"m": ["a1"]}, {})
