--- a/src/cactusshunt/detour/service_reach.py
+++ b/src/cactusshunt/detour/service_reach.py
@@ -108,10 +108,6 @@
         """Return whether this VM does not reach a service that another VM reaches."""
         return self._find(service).state is ReachState.CUT_OFF
 
-    def is_in_doubt(self, service: str) -> bool:
-        """Return whether it is not certain that this VM reaches a service."""
-        return self._find(service).state is not ReachState.REACHED
-
     def list_reached(self) -> list[str]:
         """Return the services whose upstreams were heard of late, for the other VMs."""
         since = self._now() - HEARD_LIFETIME_S
