Take only upstreams that are not known to have crashed as a sign that the links work

Cause: an engine counts as crashed only if the VM connects to another upstream; where the others had crashed before it, none answered, so the crash was no evidence and a deadly part went on to the next engine.

--- a/src/cactusshunt/quarantine/quarantine.py
+++ b/src/cactusshunt/quarantine/quarantine.py
@@ -544,8 +544,14 @@
         self._report_crash(crash, service, subjects)
 
     def _list_other_addresses(self, upstream: Upstream) -> list[Address]:
-        """Return the addresses of some other upstreams, of its own service and of others."""
-        others = [found for found in self._directory.all() if found.ready and found is not upstream]
+        """Return the addresses of some other upstreams that are not known to have crashed."""
+        others = [
+            found
+            for found in self._directory.all()
+            if found.ready
+            and found is not upstream
+            and (found.name, found.entry.born) not in self._crashed_runs
+        ]
         kin = [found for found in others if found.entry.service == upstream.entry.service]
         chosen = self._random.sample(kin, min(CONTROLS, len(kin)))
         chosen += self._random.sample(others, min(CONTROLS, len(others)))
