Count engines that end at one moment as one crash of a whole request

Besides, a request's claims ended while it was still being found out whether its upstream had crashed, so that another VM sent it on.

Change: crashes of a whole request within 0.03 s count once; claims last until the check has ended and its report is sent.

--- a/src/cactusshunt/quarantine/crash_evidence.py
+++ b/src/cactusshunt/quarantine/crash_evidence.py
@@ -24,6 +24,7 @@
 CRASHES_TO_SUSPECT, CRASHES_TO_CONVICT = 1, 3
 EPISODES_TO_SUSPECT, EPISODES_TO_CONVICT = 2, 4
 MIN_EPISODES_TO_CONVICT = 2  # a common cause may end any number of engines at once
+MOMENT_S = 0.03  # engines that end within it, as a rack does, are one crash of a whole request
 EPISODE_S = 0.5  # crashes within this time of the first one are one episode
 CONFIRMATION_S = 0.1  # in which peers tell that they had answers on the subject, twice
 SUSPICION_S = 600.0  # after the last crash
@@ -222,14 +223,15 @@
 
     def _weigh(self, subject: Subject, crashes: list[float]) -> _Weight:
         """Return how many crashes or, with a remembered answer, episodes count."""
-        episodes = _count_episodes(crashes)
+        episodes = _count_groups(crashes, EPISODE_S)
         if self.had_answer(subject):
             return _Weight(
                 count=episodes, to_suspect=EPISODES_TO_SUSPECT, to_convict=EPISODES_TO_CONVICT
             )
-        count = len(crashes)
-        if count > 1 and not subject.is_request:
-            count -= self._count_repeats(subject)
+        if subject.is_request:
+            count = _count_groups(crashes, MOMENT_S)
+        else:
+            count = len(crashes) - self._count_repeats(subject)
         if episodes < MIN_EPISODES_TO_CONVICT:
             count = min(count, CRASHES_TO_CONVICT - 1)
         return _Weight(count=count, to_suspect=CRASHES_TO_SUSPECT, to_convict=CRASHES_TO_CONVICT)
@@ -239,7 +241,7 @@
 
         That request was at several of the engines, and may crash them with parts that are sound.
         """
-        runs = self._suspects[part].crashes.keys()
+        runs = self._suspects.get(part, _Suspect()).crashes.keys()
         shared = (
             len(runs & found.crashes.keys())
             for other, found in self._suspects.items()
@@ -254,12 +256,12 @@
         return sorted(at for at, _ in suspect.crashes.values() if now < at + SUSPICION_S)
 
 
-def _count_episodes(crashes: list[float]) -> int:
-    """Return into how many episodes crashes fall, which are ordered by time."""
+def _count_groups(crashes: list[float], seconds: float) -> int:
+    """Return in how many groups crashes fall, which are ordered by time and last ``seconds``."""
     count = 0
     ends_at = float("-inf")
     for at in crashes:
         if at >= ends_at:
             count += 1
-            ends_at = at + EPISODE_S
+            ends_at = at + seconds
     return count
--- a/src/cactusshunt/quarantine/quarantine.py
+++ b/src/cactusshunt/quarantine/quarantine.py
@@ -233,9 +233,15 @@
             self._outstanding.pop(run, None)
 
     def release(self, job: Job) -> None:
-        """End the claims of a request that is done."""
-        self._undecided.pop(id(job), None)
-        self._release_claims(job)
+        """End the claims of a request that is done.
+
+        If its upstream may have crashed, they last until the others have been told.
+        """
+        run, _ = self._undecided.pop(id(job), (None, 0.0))
+        if run in self._checks:
+            self._reactor.callLater(MAX_CHECK_WAIT_S, self._release_claims, job)
+        else:
+            self._release_claims(job)
 
     def _release_claims(self, job: Job) -> None:
         released = [subject for subject, probe in self._probes.items() if probe is job]
