--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -113,7 +113,7 @@
         path = Path(self._folder.name) / f"{name}.toml"
         text = SETTINGS_TEMPLATE.format(
             node=name,
-            zone="east" if int(name[1:]) % 2 else "west",
+            zone=zone_of_node(name),
             udp=front + 2,
             front=front,
             ready=front + 1,
@@ -287,6 +287,11 @@
         self.processes[name] = started
 
 
+def zone_of_node(name: str) -> str:
+    """Return the availability zone of a node."""
+    return "east" if int(name[1:]) % 2 else "west"
+
+
 def standard_routes() -> list[dict[str, Any]]:
     """Return one route of each type, and a resumable streaming route."""
     stream = {"routeType": "streaming", "timeoutMs": 8000, "targetLatencyMs": 1500}
