Hold a service that is silent for all VMs not for cut off

Cause: a word of another VM was good for 2 s, from before the silence too, so all VMs took sound engines that were silent for a second for out of their reach, passed requests on to each other and refused them.

Change: VMs say how long ago they heard of a service; only what another VM heard since this one's silence began contradicts it.

--- a/src/cactusshunt/detour/service_reach.py
+++ b/src/cactusshunt/detour/service_reach.py
@@ -25,7 +25,7 @@
 from cactusshunt.tasks.periodic import start_coroutine
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from cactusshunt.http1.connection_pool import ConnectionPool
     from cactusshunt.platform.documents import Configuration
@@ -57,7 +57,16 @@
     failed: bool = False  # a connection failed since then
     next_probe_at: float = 0.0
     probing: bool = False
-    peers: dict[str, float] = field(default_factory=dict)  # when each said that it reaches it
+    peers: dict[str, float] = field(default_factory=dict)  # when each heard of an upstream
+
+
+def _is_heard_elsewhere(found: _Service) -> bool:
+    """Return whether another VM has heard of a service since this one has not.
+
+    Else the service itself may be silent, at all VMs.
+    """
+    assert found.unheard_since is not None
+    return any(at > found.unheard_since for at in found.peers.values())
 
 
 class ServiceReach:
@@ -98,27 +107,31 @@
         self.record_send(service)
         self._find(service).failed = True
 
-    def record_peer_word(self, vm: str, services: Iterable[str]) -> None:
-        """Record which services another VM says that it reaches."""
+    def record_peer_word(self, vm: str, ages_ms: Mapping[str, int]) -> None:
+        """Record how long ago another VM heard of each service, in ms."""
         now = self._now()
-        for service in services:
-            self._find(service).peers[vm] = now
+        for service, age_ms in ages_ms.items():
+            self._find(service).peers[vm] = now - age_ms / 1000.0
 
     def is_cut_off(self, service: str) -> bool:
         """Return whether this VM does not reach a service that another VM reaches."""
         return self._find(service).state is ReachState.CUT_OFF
 
-    def list_reached(self) -> list[str]:
-        """Return the services whose upstreams were heard of late, for the other VMs."""
-        since = self._now() - HEARD_LIFETIME_S
-        return [name for name, found in self._services.items() if found.heard_at > since]
+    def list_reached(self) -> dict[str, int]:
+        """Return the services of which this VM heard of late, with the ms since, for the others."""
+        now = self._now()
+        return {
+            name: int((now - found.heard_at) * 1000)
+            for name, found in self._services.items()
+            if found.heard_at > now - HEARD_LIFETIME_S
+        }
 
     def list_cut_off(self) -> list[str]:
         """Return the services that this VM is cut off from."""
         return [name for name in self._services if self.is_cut_off(name)]
 
     def list_helpers(self, service: str) -> list[str]:
-        """Return the VMs that said of late that they reach a service."""
+        """Return the VMs that heard of a service of late."""
         since = self._now() - PEER_WORD_LIFETIME_S
         return [vm for vm, at in self._find(service).peers.items() if at > since]
 
@@ -149,7 +162,7 @@
             found.next_probe_at = self._now() + PROBE_INTERVAL_S
         if any(succeeded and answered for succeeded, answered in answers):
             self.record_heard(service)
-        elif found.state is ReachState.DOUBTED and chosen and self.list_helpers(service):
+        elif found.state is ReachState.DOUBTED and chosen and _is_heard_elsewhere(found):
             found.state = ReachState.CUT_OFF
             log_event("cut_off", service=service, helpers=len(self.list_helpers(service)))
 
--- a/src/cactusshunt/membership/announcer.py
+++ b/src/cactusshunt/membership/announcer.py
@@ -50,7 +50,7 @@
         directory: UpstreamDirectory,
         meter: DemandMeter,
         membership: MembershipTask,
-        list_reached_services: Callable[[], list[str]],
+        list_reached_services: Callable[[], dict[str, int]],
         handle_demand: Callable[[DemandReport], None],
         plan_now: Callable[[], None],
     ) -> None:
--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -40,7 +40,7 @@
     ``status_number`` increases with each report, so that a receiver recognises a duplicate;
     ``store_silent_ms`` is the time since the platform's store last answered the VM;
     ``configuration_version`` is the version in force, 0 from VMs that don't report it;
-    ``reached_services`` are those whose upstreams the VM heard of late.
+    ``reached_services`` maps services of which the VM heard of late to the milliseconds since then.
     """
 
     vm: str
@@ -48,7 +48,7 @@
     store_silent_ms: int
     work: list[EngineWork]
     configuration_version: int = 0
-    reached_services: list[str] = []
+    reached_services: dict[str, int] = {}
 
 
 class DemandReport(msgspec.Struct, frozen=True, kw_only=True, tag="d", array_like=True):
--- a/tests/relaying/cut_off_vms.feature
+++ b/tests/relaying/cut_off_vms.feature
@@ -34,3 +34,9 @@
       | is told to stop    |
       | is frozen for 3 s  |
       | is cut off as well |
+
+  Scenario: Sound engines are silent for a second, to all VMs
+    Given 4 nodes, each with links of its own to the upstreams
+    When all links are silent for 1.3 seconds while callers send requests
+    Then every request is served
+    And no node counts an upstream as failed, crashed or cut off
--- a/tests/steps/fleet_demand_steps.py
+++ b/tests/steps/fleet_demand_steps.py
@@ -73,7 +73,7 @@
         directory=SimpleNamespace(all=list),  # type: ignore[arg-type]
         meter=meter,
         membership=context.membership,
-        list_reached_services=list,
+        list_reached_services=dict,
         handle_demand=lambda report: context.reports.append(report),
         plan_now=lambda: None,
     )
--- a/tests/steps/reach_report_steps.py
+++ b/tests/steps/reach_report_steps.py
@@ -60,7 +60,7 @@
         directory=SimpleNamespace(),  # type: ignore[arg-type]
         meter=SimpleNamespace(),  # type: ignore[arg-type]
         membership=SimpleNamespace(store_silent_s=lambda now: 0.0),  # type: ignore[arg-type]
-        list_reached_services=lambda: [] if zone == CUT_ZONE else [SERVICE],
+        list_reached_services=lambda: {} if zone == CUT_ZONE else {SERVICE: 0},
         handle_demand=lambda report: None,
         plan_now=lambda: None,
     )
--- a/tests/steps/simulated_fleet.py
+++ b/tests/steps/simulated_fleet.py
@@ -239,7 +239,7 @@
             directory=self._directory,
             meter=self.meters[vm],
             membership=membership,
-            list_reached_services=lambda: [SERVICE],
+            list_reached_services=lambda: {SERVICE: 0},
             handle_demand=self.apply_demand if own else lambda report: None,
             plan_now=self._plan_now if own else lambda: None,
         )
