Split probes and the store's convictions from the quarantine

quarantine.py had 770 lines with admission, probes, evidence from ends, messages and the store's convictions.

--- a/src/cactusshunt/quarantine/quarantine.py
+++ b/src/cactusshunt/quarantine/quarantine.py
@@ -22,14 +22,13 @@
 from twisted.internet.defer import Deferred
 
 from cactusshunt.decisions.rendezvous import rank_nodes
-from cactusshunt.exceptions import StoreError
 from cactusshunt.membership.messages import ConvictedPart
 from cactusshunt.membership.messages import CrashReport
 from cactusshunt.membership.messages import PartReport
 from cactusshunt.node_log import log_event
 from cactusshunt.quarantine.convicted_keys import decode_conviction
-from cactusshunt.quarantine.convicted_keys import encode_conviction
 from cactusshunt.quarantine.convicted_keys import make_key
+from cactusshunt.quarantine.conviction_store import ConvictionStore
 from cactusshunt.quarantine.crash_check import has_crashed
 from cactusshunt.quarantine.crash_evidence import CONFIRMATION_S
 from cactusshunt.quarantine.crash_evidence import SUSPICION_S
@@ -37,9 +36,8 @@
 from cactusshunt.quarantine.crash_evidence import Crash
 from cactusshunt.quarantine.crash_evidence import CrashEvidence
 from cactusshunt.quarantine.crash_evidence import Verdict
-from cactusshunt.quarantine.probe_claims import CLAIM_REPEAT_S
 from cactusshunt.quarantine.probe_claims import SETTLE_S
-from cactusshunt.quarantine.probe_claims import ProbeClaims
+from cactusshunt.quarantine.probes import Probes
 from cactusshunt.quarantine.subject import Subject
 from cactusshunt.quarantine.subject import identify_request
 from cactusshunt.quarantine.subject import list_shared_parts
@@ -66,10 +64,6 @@
 REPEAT_S = 0.15  # reports are sent twice, because datagrams may be lost
 MAX_REPLY_DELAY_S = 0.03  # the first VM that knows of an answer tells the others
 KNOWN_COMPLETION_S = 1.0  # a completion that is newer by less is not reported again
-STORE_DELAY_S = 0.2  # in which peers take a conviction back that they know to be wrong
-STORE_RANK_DELAY_S = 0.3  # the preferred VM writes a conviction; others if it did not
-MAX_STORE_DELAY_S = 3.0
-STORE_TIMEOUT_S = 0.5
 REPORT_RETENTION_S = 60.0  # own reports, for VMs that start
 MAX_OWN_REPORTS = 32
 MAX_RUNS = 256  # crashed runs of engines that are remembered
@@ -77,7 +71,6 @@
 STORE = "store"  # source of a conviction that the view delivered
 CONTROLS = 2  # other upstreams, twice, to which a connection shows that this VM's links work
 MAX_CHECK_WAIT_S = 0.1  # a request waits this long until it is known whether its engine crashed
-LAST_PROBE = "probe:"  # claimed for the probe of a subject that one more crash may convict
 
 # Why a request is not sent: whether the whole request is the cause, and the verdict.
 REASONS: dict[tuple[bool, Verdict], str] = {
@@ -152,18 +145,26 @@
         self._pool = pool
         self._directory = directory
         self._link = link
-        self._store = store
         self._random = random.Random()
         self._evidence = CrashEvidence()
-        self._claims = ProbeClaims(vm=vm)
-        self._probes: dict[Subject, Job] = {}
         self._outstanding: defaultdict[tuple[str, int], dict[int, Job]] = defaultdict(dict)
+        self._probes = Probes(
+            reactor=reactor,
+            vm=vm,
+            directory=directory,
+            evidence=self._evidence,
+            broadcast=self._broadcast,
+            list_outstanding=self._list_outstanding,
+            on_released=self._wake,
+        )
+        self._conviction_store = ConvictionStore(
+            reactor=reactor, vm=vm, store=store, evidence=self._evidence, rank=self._rank
+        )
         self._checks: dict[tuple[str, int], set[Subject]] = {}
         self._undecided: dict[int, tuple[tuple[str, int], float]] = {}
         self._crashed_runs: OrderedDict[tuple[str, int], tuple[Crash, float]] = OrderedDict()
         self._own_reports: deque[tuple[float, CrashReport]] = deque(maxlen=MAX_OWN_REPORTS)
         self._reported_completions: OrderedDict[Subject, ReportedCompletion] = OrderedDict()
-        self._stored: set[Subject] = set()
         self._waiting: list[Deferred[None]] = []
         self._known_peers: frozenset[str] = frozenset()
         self.on_crash: Callable[[Upstream], None] = lambda upstream: None
@@ -193,7 +194,7 @@
                 subject for subject, found in verdicts.items() if found is Verdict.SUSPECTED
             ]
             if not self._is_undecided(job, now) and (
-                not suspects or self._begin_probe(job, sorted(suspects), now)
+                not suspects or self._probes.begin(job, sorted(suspects), now)
             ):
                 return None
             if now >= hold_ends_at:
@@ -207,11 +208,11 @@
         if self._evidence.is_empty:
             return True
         now = self._now()
-        if job.probe_upstreams is not None and self._is_probed(upstream, job):
+        if job.probe_upstreams is not None and self._probes.is_at(upstream, job):
             return False
         for subject in _list_subjects(job):
             verdict = self._assess(subject, now)
-            is_probe = self._probes.get(subject) is job and self._claims.holds(subject, now)
+            is_probe = self._probes.holds(job, subject, now)
             if verdict is Verdict.CONVICTED or (verdict is Verdict.SUSPECTED and not is_probe):
                 return False
         return True
@@ -239,19 +240,9 @@
         """
         run, _ = self._undecided.pop(id(job), (None, 0.0))
         if run in self._checks:
-            self._reactor.callLater(MAX_CHECK_WAIT_S, self._release_claims, job)
+            self._reactor.callLater(MAX_CHECK_WAIT_S, self._probes.release, job)
         else:
-            self._release_claims(job)
-
-    def _release_claims(self, job: Job) -> None:
-        released = [subject for subject, probe in self._probes.items() if probe is job]
-        for subject in released:
-            del self._probes[subject]
-            self._claims.release(self._vm, subject)
-        if released:
-            names = [subject.name for subject in released]
-            self._broadcast(PartReport(vm=self._vm, service=job.service, released=names))
-            self._wake()
+            self._probes.release(job)
 
     @singledispatchmethod
     def apply_message(self, message: CrashReport | PartReport | ConvictedPart) -> None:
@@ -280,11 +271,7 @@
         if questioned:
             delay_s = self._random.uniform(0.0, MAX_REPLY_DELAY_S)
             self._reactor.callLater(delay_s, self._answer_question, questioned, now)
-        for name in report.claimed:
-            subject = Subject(service=report.service, name=name)
-            self._claims.apply(report.vm, subject, now)
-        for name in report.released:
-            self._claims.release(report.vm, Subject(service=report.service, name=name))
+        self._probes.apply_claims(report)
         self._wake()
 
     @apply_message.register
@@ -302,7 +289,7 @@
             self._report_completions([subject], again=True)
             return
         if self._add_conviction(conviction, source=message.vm):
-            self._write_later(conviction)
+            self._conviction_store.write_later(conviction)
 
     def apply_stored_item(self, item: StoredItem) -> None:
         """Apply a conviction in the store, or its removal, by which an operator lifts it."""
@@ -314,9 +301,9 @@
             log_event("record_unreadable", key=item.key)
             return
         if self._is_refuted(conviction):
-            start_coroutine(self._remove(conviction.subject))
+            self._conviction_store.start_removal(conviction.subject)
             return
-        self._stored.add(conviction.subject)
+        self._conviction_store.record_stored(conviction.subject)
         self._add_conviction(conviction, source=STORE)
 
     def lift(self, service: str, name: str) -> bool:
@@ -324,7 +311,7 @@
         subject = Subject(service=service, name=name)
         if not self._lift(subject, "an operator lifted it"):
             return False
-        start_coroutine(self._remove(subject))
+        self._conviction_store.start_removal(subject)
         return True
 
     def tick(self) -> None:
@@ -338,7 +325,7 @@
             if now > conviction.ends_at + SUSPICION_S:
                 self._lift(subject, "it ended")
                 if self._rank(subject) == 0:
-                    start_coroutine(self._remove(subject))
+                    self._conviction_store.start_removal(subject)
 
     def describe(self, now: float) -> list[dict[str, Any]]:
         """Return the suspected and convicted subjects, the gravest first, for the state dump."""
@@ -372,96 +359,14 @@
         replaced = bool(versions) and not versions & conviction.versions
         return Verdict.SUSPECTED if replaced else verdict
 
+    def _list_outstanding(self, upstream: Upstream) -> Iterable[Job]:
+        return self._outstanding.get((upstream.name, upstream.entry.born), {}).values()
+
     def _is_undecided(self, job: Job, now: float) -> bool:
         """Return whether it is being found out if the request's last upstream crashed."""
         run, wait_ends_at = self._undecided.get(id(job), (None, now))
         return run in self._checks and now < wait_ends_at
 
-    def _begin_probe(self, job: Job, suspects: list[Subject], now: float) -> bool:
-        """Return whether the request may be sent now; claims that do not lead there end."""
-        claims = self._plan_probe(job, suspects, now)
-        if not claims or not self._claim(job, claims, now):
-            self._release_claims(job)
-            return False
-        return all(self._claims.holds(subject, now) for subject in claims)
-
-    def _plan_probe(self, job: Job, suspects: list[Subject], now: float) -> list[Subject]:
-        """Return what to claim for a probe, if it may be sent now, and set where to send it."""
-        if not all(self._evidence.may_probe(subject, now) for subject in suspects):
-            return []
-        unanswered = [subject for subject in suspects if not self._evidence.had_answer(subject)]
-        is_grave = any(self._evidence.is_nearly_convicted(subject, now) for subject in unanswered)
-        is_repeat = job.last_sent_at is not None
-        if is_grave and is_repeat and not all(subject.is_request for subject in unanswered):
-            return []  # a crash under another request says more about a part
-        job.probe_upstreams = None
-        if is_grave or any(subject.is_request for subject in unanswered):
-            job.probe_upstreams = self._list_probe_upstreams(job, now, spare_last=is_grave)
-        if job.probe_upstreams is not None and not job.probe_upstreams:
-            return []
-        last_probe = [Subject(service=job.service, name=LAST_PROBE)] if is_grave else []
-        return [*suspects, *last_probe]
-
-    def _list_probe_upstreams(
-        self, job: Job, now: float, *, spare_last: bool
-    ) -> frozenset[str] | None:
-        """Return the upstreams at which a crash under this request harms the fewest others.
-
-        With ``spare_last`` the only sound one counts only while nothing runs there. ``None`` means
-        any, since none holds the request's model yet.
-        """
-        usable = self._directory.usable(job.service)
-        if job.generation is not None:
-            model, adapter = job.generation.model, job.generation.adapter
-            usable = [found for found in usable if found.holds(model, adapter, now)]
-            if not usable:
-                return None
-        sound = [found for found in usable if not found.failure_history.resting(now)]
-        spares = spare_last and len(sound) == 1
-        return frozenset(
-            found.name
-            for found in sound
-            if found.name not in job.excluded_upstreams
-            and not self._is_probed(found, job)
-            and not (spares and found.total_running(now))
-        )
-
-    def _is_probed(self, upstream: Upstream, job: Job) -> bool:
-        """Return whether another request that may crash the upstream is at it."""
-        outstanding = self._outstanding.get((upstream.name, upstream.entry.born), {})
-        return any(
-            other is not job and other.probe_upstreams is not None for other in outstanding.values()
-        )
-
-    def _claim(self, job: Job, subjects: list[Subject], now: float) -> bool:
-        """Claim all subjects for a request, or none if one is claimed by another."""
-        if any(self._is_claimed_elsewhere(subject, job, now) for subject in subjects):
-            return False
-        new = [subject for subject in subjects if self._probes.get(subject) is not job]
-        for subject in subjects:
-            self._claims.claim(subject, now)
-            self._probes[subject] = job
-        if new:
-            self._announce_claims(job, new)
-        return True
-
-    def _is_claimed_elsewhere(self, subject: Subject, job: Job, now: float) -> bool:
-        """Return whether another request, here or at another VM, has a subject."""
-        probe = self._probes.get(subject)
-        return (probe is not None and probe is not job) or self._claims.is_taken(subject, now)
-
-    def _announce_claims(self, job: Job, subjects: list[Subject]) -> None:
-        names = [subject.name for subject in subjects]
-        self._broadcast(PartReport(vm=self._vm, service=job.service, claimed=names))
-        self._reactor.callLater(CLAIM_REPEAT_S, self._repeat_claims, job, subjects)
-
-    def _repeat_claims(self, job: Job, subjects: list[Subject]) -> None:
-        kept = [subject for subject in subjects if self._probes.get(subject) is job]
-        for subject in kept:
-            self._claims.claim(subject, self._now())
-        if kept:
-            self._announce_claims(job, kept)
-
     def _record_answer(self, run: tuple[str, int], job: Job, end: AttemptEnd) -> None:
         now = self._now()
         parts = list_shared_parts(job) if end is AttemptEnd.ANSWERED else ()
@@ -485,7 +390,7 @@
         if conviction is None or not self._is_refuted(conviction):
             return was_suspected
         self._lift(subject, "an answer was completed")
-        start_coroutine(self._remove(subject))
+        self._conviction_store.start_removal(subject)
         return True
 
     def _is_refuted(self, conviction: Conviction) -> bool:
@@ -625,7 +530,7 @@
             conviction = self._evidence.make_conviction(subject, now)
             if self._add_conviction(conviction, source=self._vm):
                 self._send_conviction(conviction)
-                self._write_later(conviction)
+                self._conviction_store.write_later(conviction)
 
     def _add_conviction(self, conviction: Conviction, source: str) -> bool:
         """Add a conviction; return whether it is new."""
@@ -635,7 +540,7 @@
             return False
         self._evidence.convictions.pop(subject, None)
         if source != STORE:
-            self._stored.discard(subject)
+            self._conviction_store.record_replaced(subject)
         self._evidence.convict(conviction)
         while len(self._evidence.convictions) > MAX_CONVICTIONS:
             del self._evidence.convictions[next(iter(self._evidence.convictions))]
@@ -665,47 +570,13 @@
             crash_age_ms=int((self._now() - conviction.last_crash_at) * 1000),
         )
 
-    def _write_later(self, conviction: Conviction) -> None:
-        """Write a conviction into the store, after VMs that are preferred for it."""
-        rank_delay_s = min(MAX_STORE_DELAY_S, self._rank(conviction.subject) * STORE_RANK_DELAY_S)
-        self._reactor.callLater(STORE_DELAY_S + rank_delay_s, self._start_write, conviction)
-
-    def _start_write(self, conviction: Conviction) -> None:
-        is_current = self._evidence.convictions.get(conviction.subject) is conviction
-        if is_current and conviction.subject not in self._stored:
-            start_coroutine(self._write(conviction))
-
-    async def _write(self, conviction: Conviction) -> None:
-        now = self._now()
-        value = encode_conviction(conviction, vm=self._vm, now=now, unix_s=time.time())
-        try:
-            await self._store.commit(
-                expected={},
-                puts={},
-                unleased_puts={make_key(conviction.subject): value},
-                deadline=now + STORE_TIMEOUT_S,
-            )
-        except StoreError as error:
-            log_event("conviction_unwritten", part=conviction.subject.name, reason=error.reason)
-
-    async def _remove(self, subject: Subject) -> None:
-        try:
-            await self._store.commit(
-                expected={},
-                puts={},
-                removals=[make_key(subject)],
-                deadline=self._now() + STORE_TIMEOUT_S,
-            )
-        except StoreError as error:
-            log_event("conviction_unwritten", part=subject.name, reason=error.reason)
-
     def _apply_removal(self, item: StoredItem) -> None:
-        self._stored = {subject for subject in self._stored if make_key(subject) != item.key}
+        self._conviction_store.record_removal(item.key)
         for subject, conviction in list(self._evidence.convictions.items()):
             if make_key(subject) != item.key:
                 continue
             if item.from_copy:
-                self._write_later(conviction)
+                self._conviction_store.write_later(conviction)
             else:
                 self._lift(subject, "it was removed from the store")
 
