Keep the connections of an upstream that is silent for a second

Cause: TCP_USER_TIMEOUT was 0.9 s. By it Linux also decides when keep-alive probes give up, whatever their count, so a sound upstream that was silent for a second or so lost its connections, and its streams were broken off.

Change: 1.5 s.

--- a/src/cactusshunt/http1/sockets.py
+++ b/src/cactusshunt/http1/sockets.py
@@ -6,7 +6,9 @@
 
 from typing import Any
 
-USER_TIMEOUT_MS = 900  # TCP_USER_TIMEOUT: longest wait for an ACK; three retransmissions on a LAN
+# TCP_USER_TIMEOUT: longest wait for an ACK. A sound upstream may be silent for a second or so. By
+# it Linux also decides when keep-alive probes give up, whatever their count.
+USER_TIMEOUT_MS = 1500
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
--- a/tests/http1/connections.feature
+++ b/tests/http1/connections.feature
@@ -34,3 +34,8 @@
   Scenario: A late second answer arrives where the answer to an order or a report is due
     Given an engine that answers an order twice, the second time on the order's connection
     Then the next order is not taken as accepted, and the next report is not read from it
+
+  Scenario: An upstream that is silent for a second keeps its connections
+    Given the socket of a connection to an upstream
+    Then bytes without an acknowledgement break it off after 1.5 to 3 seconds
+    And unanswered keep-alive probes break it off after 1.5 to 3 seconds, whatever their count
