--- a/soak/faulty_link.py
+++ b/soak/faulty_link.py
@@ -52,11 +52,14 @@
 
     def close(self) -> None:
         """Close all ports and reset their connections."""
-        for server in self._servers:
-            self._loop.call_soon_threadsafe(server.close)
+        self._run(self._close_servers())
         for port in self._modes:
             self.reset(port)
 
+    async def _close_servers(self) -> None:
+        for server in self._servers:
+            server.close()
+
     def set_mode(self, port: int, mode: LinkMode) -> None:
         """Set the mode of a port's link, which also applies to open connections."""
         self._modes[port] = mode
