Let a stream go on only at the software version that began it

Cause: nothing read an upstream's software version or a caller's Resumes. A stream that broke off went on at any upstream, within one answer and when a caller took it up at another VM; with two versions in service its text was joined from both.

Change: each service has one settled version in the store. A stream that another version begins is recorded there, gathered, before its first event is passed on; a stream without a record was begun by the settled one. A VM that gets a take-up reads the records, so it need not have seen the stream. Where the version is not known (the store is or was silent, records differ, the caller names no attempt) the request is refused, not run. The VM that a request is passed on to names the version in its answer. Settled versions follow once the last upstream is away for longer than a stream may last.

--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -49,6 +49,7 @@
         first_port: int,
         nodes: int = 2,
         initial_models: Mapping[str, str] = INITIAL_MODELS,
+        software_versions: Mapping[str, str] | None = None,
     ) -> None:
         self._first_port = first_port
         self._folder = tempfile.TemporaryDirectory(prefix="cactusshunt-")
@@ -56,6 +57,7 @@
         self._started: list[subprocess.Popen[bytes]] = []
         self._version = 0
         self._initial_models = initial_models
+        self.software_versions = dict(software_versions or {})
         self.store = first_port
         self.upstream_ports = {"e1": first_port + 1, "e2": first_port + 2, "s1": first_port + 3}
         self.caller_ports = {f"n{n}": first_port + 10 * n for n in range(1, nodes + 1)}
@@ -91,6 +93,7 @@
             service,
             self._initial_models.get(name, ""),
             str(self.upstream_port_of(name)),
+            self.software_versions.get(name, ""),
         ]
         self._spawn(name, "-m", "stand_ins.platform_engine", name, *ports, *extra_arguments)
 
--- a/src/cactusshunt/detour/detour.py
+++ b/src/cactusshunt/detour/detour.py
@@ -92,7 +92,9 @@
             return Outcome.CALLER_GONE if job.connection.disconnected else Outcome.NOT_REACHED
         now = self._reactor.seconds()
         prepare_exchange(job, now)
-        job.sink.on_head = lambda: None
+        job.passed_on = True
+        job.attempt_version = None
+        job.sink.on_head = lambda: self._record_head(job)
         job.sink.on_first_byte = lambda: self._record_first_byte(job)
         headers = build_detour_headers(
             job.headers,
@@ -100,6 +102,7 @@
             configuration_version=self._configuration_version(),
             left_ms=job.left_ms(now) - DEADLINE_MARGIN_MS,
             resume_after=job.sink.events.last_id if job.sink.forwarding_started else None,
+            stream_version=job.stream_version,
             body_bytes=count_body_bytes(job),
         )
         self._running[peer.vm] += 1
@@ -118,6 +121,9 @@
         )
         return outcome
 
+    def _record_head(self, job: Job) -> None:
+        job.attempt_version = names.read_stream_version(job.sink.headers)
+
     def _record_first_byte(self, job: Job) -> None:
         job.attempt_first_byte_at = self._reactor.seconds()
         if job.first_byte_at is None:
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -62,6 +62,9 @@
 from cactusshunt.requests.stopping import compute_serving_end
 from cactusshunt.requests.upstream_picker import UpstreamPicker
 from cactusshunt.routing.upstream_directory import UpstreamDirectory
+from cactusshunt.streams.stream_records import SETTLED_PREFIX
+from cactusshunt.streams.stream_records import STREAMS_PREFIX
+from cactusshunt.streams.stream_versions import StreamVersions
 from cactusshunt.tasks.periodic import start_coroutine
 from cactusshunt.tasks.steady_clock import use_steady_clock
 from cactusshunt.telemetry.node_telemetry import NodeTelemetry
@@ -79,6 +82,7 @@
 ORDER_TICK_INTERVAL_S = 0.05
 REACH_TICK_INTERVAL_S = 0.1
 HOUSEKEEPING_INTERVAL_S = 1.0
+STREAMS_TICK_INTERVAL_S = 0.5
 LOG_FLUSH_INTERVAL_S = 0.1
 PEER_TRAFFIC_LOG_INTERVAL_S = 5.0
 LISTEN_BACKLOG = 512
@@ -153,6 +157,7 @@
             availability_zone=settings.zone,
             trigger_planning=lambda: self._announcer.send_demand_and_plan_soon(),
             limits=self._limits,
+            prefer_version=lambda job: self._streams.prefer_version(job),
         )
         self._limits.on_permits = self._picker.wake
         self._directory.on_change = self._picker.wake
@@ -185,6 +190,15 @@
             link=self._link,
             store=self._lease_store,
         )
+        self._streams = StreamVersions(
+            reactor=reactor,
+            vm=settings.node,
+            store=self._lease_store,
+            era=self._era,
+            directory=self._directory,
+            link=self._link,
+            measure_store_silence_s=lambda: self._membership.store_silent_s(reactor.seconds()),
+        )
         self._peer_pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
         relay = Relay(
             reactor=reactor,
@@ -204,6 +218,7 @@
                 reach=self._reach,
                 configuration_version=lambda: self._version,
             ),
+            streams=self._streams,
         )
         self._quarantine.on_crash = relay.record_crash
         self._handlers: dict[type[Message], Callable[[Any], None]] = {
@@ -272,6 +287,7 @@
         self._repeat(REACH_INTERVAL_S, self._announcer.send_reach)
         self._repeat(DEMAND_INTERVAL_S, self._announcer.send_demand)
         self._repeat(HOUSEKEEPING_INTERVAL_S, self._run_housekeeping)
+        self._repeat(STREAMS_TICK_INTERVAL_S, self._streams.tick)
         self._repeat(LOG_FLUSH_INTERVAL_S, flush_log)
         self._repeat(PEER_TRAFFIC_LOG_INTERVAL_S, self._log_peer_traffic)
 
@@ -301,6 +317,8 @@
             self._directory.apply_stored_entry(item)
         elif item.key.startswith(CONVICTED_PREFIX):
             self._quarantine.apply_stored_item(item)
+        elif item.key.startswith((STREAMS_PREFIX, SETTLED_PREFIX)):
+            self._streams.apply_stored_item(item)
         elif item.key.startswith(documents.SYSTEM_PREFIX):
             self._membership.apply_stored_item(item)
             self._allowance.set_vm_count(1 + len(self._link.peers))
@@ -359,6 +377,7 @@
         self._announcer.announce_configuration(configuration.version)
         self._callers.set_configuration(configuration)
         self._reach.set_configuration(configuration)
+        self._streams.set_configuration(configuration)
         self._orders.set_configuration(configuration)
         log_event("configuration", version=configuration.version, routes=len(configuration.routes))
 
--- a/src/cactusshunt/platform/headers.py
+++ b/src/cactusshunt/platform/headers.py
@@ -5,6 +5,8 @@
 import re
 
 from dataclasses import dataclass
+from urllib.parse import quote
+from urllib.parse import unquote
 
 from cactusshunt.exceptions import HeaderValueError
 
@@ -27,6 +29,9 @@
 RETRY_AFTER = b"retry-after"  # s
 DETOUR = b"cactusshunt-detour"  # between VMs: the VM that passes a request on, its configuration
 DETOUR_RESULT = b"cactusshunt-detour-result"  # between VMs: in a VM's own answers to such requests
+# between VMs: the software version that began a stream, in requests passed on and answers to them
+STREAM_VERSION = b"cactusshunt-stream-version"
+RESUMES = b"resumes"  # ID of the caller's attempt that brought the stream's first event
 DETOUR_NOT_RUN, DETOUR_UNKNOWN = b"not-run", b"unknown"  # the request did not run, or may have
 CONTENT_ENCODING = b"content-encoding"
 KEEP_ALIVE = b"keep-alive"
@@ -44,9 +49,10 @@
         b"kv-fetch",
         b"wait-ms",
         DETOUR,
+        STREAM_VERSION,
     }
 )
-"""Removed from callers' requests; this system sets the first three and the last on its own."""
+"""Removed from callers' requests; this system sets the first three and last two on its own."""
 HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -61,6 +67,7 @@
         b"content-length",
         b"expect",
         DETOUR_RESULT,
+        STREAM_VERSION,
     }
 )
 """Apply to one connection only (RFC 9110, section 7.6.1), or are set again for the next one."""
@@ -112,6 +119,19 @@
     return DetourOrigin(vm=vm.decode("latin-1"), configuration_version=int(version))
 
 
+def encode_stream_version(version: str) -> bytes:
+    """Return a software version as a header's value; any version has one."""
+    return b"=" + quote(version, safe="").encode()
+
+
+def read_stream_version(headers: Headers) -> str | None:
+    """Return the software version that began a stream, ``None`` if the other VM names none."""
+    value = find_header(headers, STREAM_VERSION)
+    if value is None or not value.startswith(b"="):
+        return None
+    return unquote(value[1:].decode("latin-1"))
+
+
 def read_brittleness(headers: Headers) -> int | None:
     """Return how many requests a second an upstream may turn away; ``None`` if it names none.
 
--- a/src/cactusshunt/platform/request_headers.py
+++ b/src/cactusshunt/platform/request_headers.py
@@ -47,14 +47,20 @@
     configuration_version: int,
     left_ms: float,
     resume_after: bytes | None,
+    stream_version: str | None,
     body_bytes: int | None,
 ) -> Headers:
-    """Return a caller's headers for another VM; the arguments are as for an upstream."""
+    """Return a caller's headers for another VM; the arguments are as for an upstream.
+
+    ``stream_version`` is the software version at which a stream may go on, ``None`` for any.
+    """
     built = [
         *headers,
         (b"X-Deadline-Ms", str(int(max(1.0, left_ms))).encode()),
         (names.DETOUR, f"{vm};{configuration_version}".encode()),
     ]
+    if stream_version is not None:
+        built.append((names.STREAM_VERSION, names.encode_stream_version(stream_version)))
     return _add_framing(built, resume_after, body_bytes)
 
 
--- a/src/cactusshunt/requests/answer_sink.py
+++ b/src/cactusshunt/requests/answer_sink.py
@@ -25,7 +25,8 @@
     ``forwarding_started`` means that the caller has received a part of the answer;
     ``identified`` means that the latest answer has the request's id;
     ``rejected`` means that ``receive_head`` rejected the latest answer; ``on_head`` is called when
-    it accepted one with the request's id.
+    it accepted one with the request's id, ``on_begin`` before the first part is forwarded.
+    ``extra_headers`` are added to the answer.
     """
 
     def __init__(
@@ -53,6 +54,12 @@
         self.identified = False
         self.on_first_byte: Callable[[], None] | None = None
         self.on_head: Callable[[], None] = lambda: None
+        self.on_begin: Callable[[], None] = lambda: None
+        self.extra_headers: Headers = []
+        self._hold = 0  # number of the latest hold
+        self._holds = False
+        self._held = b""
+        self._finish_due = False
 
     @property
     def body(self) -> bytes:
@@ -118,8 +125,33 @@
             self.events.discard_incomplete()
         return fits
 
+    def hold_events(self) -> int:
+        """Hold the first events back, and return a number to release them with."""
+        self._hold += 1
+        self._holds = True
+        return self._hold
+
+    def release_events(self, hold: int) -> None:
+        """Forward what was held back, unless another hold has begun since."""
+        if not self._holds or hold != self._hold:
+            return
+        self._holds = False
+        held, self._held = self._held, b""
+        if held:
+            self._forward(held)
+        if self._finish_due:
+            self.finish_stream()
+
+    def drop_held(self) -> None:
+        """Discard what is held back, because the request is answered otherwise."""
+        self._holds = self._finish_due = False
+        self._held = b""
+
     def finish_stream(self) -> None:
         """End the answer, after forwarding bytes that follow the last complete event, if any."""
+        if self._holds:
+            self._finish_due = True
+            return
         incomplete = self.events.incomplete
         if incomplete:
             self.events.discard_incomplete()
@@ -133,11 +165,19 @@
         self.rejected = False
         self.identified = False
         self.events.discard_incomplete()
+        if self._held:
+            self.drop_held()
+            self.events = EventSplitter()
 
     def _forward(self, data: bytes) -> None:
+        if self._holds:
+            self._held += data
+            return
         if not self.forwarding_started:
             self.forwarding_started = True
-            self._connection.write_head(self.status, names.select_forwarded_headers(self.headers))
+            self.on_begin()
+            forwarded = names.select_forwarded_headers(self.headers)
+            self._connection.write_head(self.status, [*forwarded, *self.extra_headers])
         if data:
             now = self._clock()
             if self._last_forwarded_at is not None:
--- a/src/cactusshunt/requests/caller_requests.py
+++ b/src/cactusshunt/requests/caller_requests.py
@@ -138,6 +138,9 @@
                 clock=self._reactor.seconds,
             ),
         )
+        job.sink.on_begin = lambda: _record_begin(job)
+        if is_detour:
+            job.stream_version = names.read_stream_version(request.headers)
         stopping = self._check_stopping(job, now)
         if stopping is not None:
             self._refuse(connection, request_id, stopping, is_detour)
@@ -189,3 +192,12 @@
         if is_detour:
             answer = local_answers.mark_for_peer(answer, ran=False)
         connection.answer(*answer)
+
+
+def _record_begin(job: Job) -> None:
+    """Keep the version that begins a stream, and tell it to the VM that passed the request on."""
+    if job.stream_version is None:
+        job.stream_version = job.attempt_version
+    if job.is_detour and job.stream_version is not None:
+        version = names.encode_stream_version(job.stream_version)
+        job.sink.extra_headers = [(names.STREAM_VERSION, version)]
--- a/src/cactusshunt/requests/job.py
+++ b/src/cactusshunt/requests/job.py
@@ -48,6 +48,9 @@
     ``probe_upstreams`` are the only ones to send it to if it may crash its upstream, else ``None``;
     ``is_detour`` means that another VM passed it on; ``unreached`` counts connections to upstreams
     that failed for it; ``digest`` identifies what the caller sent, once it is needed.
+    ``attempt_version`` is the software version of the latest attempt's upstream, ``None`` if it is
+    not known; ``stream_version`` is the only one at which the stream may go on, ``None`` while it
+    has not begun. ``passed_on`` means that another VM may have begun it.
     """
 
     request: ReceivedRequest
@@ -74,6 +77,26 @@
     is_detour: bool = False
     unreached: int = 0
     digest: str | None = None
+    attempt_version: str | None = None
+    stream_version: str | None = None
+    passed_on: bool = False
+
+    @property
+    def takes_up(self) -> bool:
+        """Return whether the caller continues a stream of which it has a part."""
+        last_event = names.find_header(self.request.headers, names.LAST_EVENT_ID)
+        return self.route.can_resume and last_event is not None
+
+    @property
+    def begun_by(self) -> bytes:
+        """Return the ID of the attempt that began a stream which is taken up, if it is named."""
+        return names.find_header(self.request.headers, names.RESUMES) or b""
+
+    @property
+    def may_go_on(self) -> bool:
+        """Return whether a stream that broke off may be resumed within the same answer."""
+        version_is_known = self.stream_version is not None
+        return self.route.can_resume and bool(self.sink.events.last_id) and version_is_known
 
     @property
     def caller(self) -> bytes:
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -45,6 +45,7 @@
     from cactusshunt.requests.upstream_picker import UpstreamPicker
     from cactusshunt.routing.upstream import Upstream
     from cactusshunt.routing.upstream_directory import UpstreamDirectory
+    from cactusshunt.streams.stream_versions import StreamVersions
 
 MAX_SENDS = 3  # per request, including the attempts that upstreams refused
 # Upstreams get this much less time than is left, so that their timeout answers can be forwarded.
@@ -76,7 +77,9 @@
         quarantine: Quarantine,
         reach: ServiceReach,
         detour: Detour,
+        streams: StreamVersions,
     ) -> None:
+        self._streams = streams
         self._reactor = reactor
         self._pool = pool
         self._directory = directory
@@ -137,6 +140,11 @@
         if block is not None:
             self._answer_blocked(job, block)
             return None
+        if job.takes_up and job.stream_version is None:
+            refusal = await self._streams.find_version(job)
+            if refusal is not None:
+                self._refuse(job, refusal)
+                return None
         picked = await self._picker.pick(job)
         if job.done or job.connection.disconnected:
             self._limits.return_permit(picked.permit)
@@ -163,7 +171,7 @@
         ran = sum(1 for earlier in job.outcomes if may_have_run(earlier))
         if sent >= MAX_SENDS or ran >= (1 if job.is_detour else job.route.attempts):
             return False  # the VM that passed a request on counts the attempts
-        if job.sink.forwarding_started and not (job.route.can_resume and job.sink.events.last_id):
+        if job.sink.forwarding_started and not job.may_go_on:
             return False
         return outcome is Outcome.NOT_REACHED or job.left_ms(self._now()) > 50.0
 
@@ -179,7 +187,12 @@
             self._record_failure(upstream, unreached=True)
             job.excluded_upstreams.add(upstream.name)
             return Outcome.NOT_REACHED
-        if job.done or job.connection.disconnected or upstream.removed_at is not None:
+        if (
+            job.done
+            or job.connection.disconnected
+            or upstream.removed_at is not None
+            or job.stream_version not in (None, upstream.software_version)
+        ):
             self._pool.release(upstream.address, connection)
             self._limits.return_permit(picked.permit)
             job.excluded_upstreams.add(upstream.name)
@@ -211,6 +224,7 @@
         )
         job.sink.on_head = lambda: self._record_head(job, upstream)
         job.sink.on_first_byte = lambda: self._record_first_byte(job, picked, upstream, attempt)
+        self._streams.begin(job, upstream)
         upstream.begin(attempt)
         born = upstream.entry.born
         self._quarantine.begin(job, upstream)
@@ -365,6 +379,7 @@
         if job.sink.forwarding_started:
             job.connection.abort()
             return
+        job.sink.drop_held()
         if not ran and final:
             answer = local_answers.build_rejection(job.request_id, reason)
         elif not ran:
--- a/src/cactusshunt/requests/upstream_picker.py
+++ b/src/cactusshunt/requests/upstream_picker.py
@@ -45,6 +45,8 @@
 LAST_REFUSALS_RESERVE_S = 0.3  # time to send them before the process ends
 STOPPING_RETRY_AFTER_S = 0.1  # another VM can accept the request at once
 NO_ROOM = Refusal(reason="brittle upstreams have no room", retry_after_s=0.3)
+# no upstream has the software version that began the stream
+VERSION_AWAY = Refusal(reason="no upstream of the stream's version", retry_after_s=0.5)
 ROOM_RECHECK_INTERVAL_S = 0.03
 RECHECK_INTERVAL_S = 0.1  # waiting requests also check the upstreams after each change of one
 
@@ -101,8 +103,10 @@
         availability_zone: str,
         trigger_planning: Callable[[], None],
         limits: RequestLimits,
+        prefer_version: Callable[[Job], str | None],
     ) -> None:
         self._reactor = reactor
+        self._prefer_version = prefer_version
         self._directory = directory
         self._meter = meter
         self._zone = availability_zone
@@ -232,13 +236,13 @@
         An adapter does not wait for a further replica of its model if an engine already holds one.
         """
         assert job.generation is not None
-        item_at = self._directory.expected_at(job.service, job.item)
+        item_at = self._directory.expected_at(job.service, job.item, job.stream_version)
         model = job.generation.model
         if item_at is not None or not job.generation.adapter:
             return item_at
-        if any(model in found.held.models for found in self._directory.usable(job.service)):
+        if any(model in found.held.models for found in self._list_usable(job)):
             return None
-        return self._directory.expected_at(job.service, model)
+        return self._directory.expected_at(job.service, model, job.stream_version)
 
     def _wait_for_change(self, seconds: float, priority: int) -> Deferred[None]:
         changed: Deferred[None] = Deferred()
@@ -260,7 +264,9 @@
 
     def _pick_service_upstream(self, job: Job) -> PickResult:
         now = self._now()
-        known = self._directory.usable(job.service)
+        known = self._list_preferred(self._list_usable(job), job)
+        if not known and job.stream_version is not None:
+            return PickResult(refusal=VERSION_AWAY)
         with_room = [found for found in known if self._limits.room.has_room(found)]
         if known and not with_room:
             return PickResult(refusal=NO_ROOM)
@@ -281,18 +287,22 @@
         """Return a choice, a refusal, or ``None`` if no engine holds the requested item."""
         assert job.generation is not None
         now = self._now()
+        usable = self._list_usable(job)
+        if not usable and job.stream_version is not None:
+            return PickResult(refusal=VERSION_AWAY)
         holders = [
             found
-            for found in self._directory.usable(job.service)
+            for found in usable
             if found.holds(job.generation.model, job.generation.adapter, now)
         ]
+        holders = self._list_preferred(holders, job)
         with_room = [found for found in holders if self._limits.room.has_room(found)]
         if holders and not with_room:
             return PickResult(refusal=NO_ROOM)
-        usable = self._prefer_healthy(with_room, job, now)
-        if not usable:
+        healthy = self._prefer_healthy(with_room, job, now)
+        if not healthy:
             return None
-        candidates = {found.name: self._make_candidate(found, job, now) for found in usable}
+        candidates = {found.name: self._make_candidate(found, job, now) for found in healthy}
         choice = choose_engine(
             list(candidates.values()),
             job.route.target_latency_ms,
@@ -362,6 +372,20 @@
             target_ms=job.route.target_latency_ms, left_ms=job.remaining_first_byte_ms(now)
         )
 
+    def _list_usable(self, job: Job) -> list[Upstream]:
+        """Return the upstreams that may get the request; of its version if its stream has begun."""
+        usable = self._directory.usable(job.service)
+        if job.stream_version is None:
+            return usable
+        return [found for found in usable if found.software_version == job.stream_version]
+
+    def _list_preferred(self, upstreams: list[Upstream], job: Job) -> list[Upstream]:
+        """Return the upstreams of the version that should begin the stream, if there are any."""
+        version = self._prefer_version(job)
+        if version is None:
+            return upstreams
+        return [found for found in upstreams if found.software_version == version] or upstreams
+
     def _prefer_healthy(self, upstreams: list[Upstream], job: Job, now: float) -> list[Upstream]:
         """Leave out excluded and resting upstreams; if all others rest, return those."""
         if job.probe_upstreams is not None:
--- a/src/cactusshunt/routing/upstream.py
+++ b/src/cactusshunt/routing/upstream.py
@@ -94,6 +94,11 @@
         """Return whether the upstream's entry says that it accepts new requests."""
         return self.entry.state == READY
 
+    @property
+    def software_version(self) -> str:
+        """Return the version of the upstream's software, empty if its entry names none."""
+        return "" if self.entry.version is None else str(self.entry.version)
+
     @property
     def running(self) -> int:
         """Return the number of this VM's requests at the upstream."""
--- a/src/cactusshunt/routing/upstream_directory.py
+++ b/src/cactusshunt/routing/upstream_directory.py
@@ -80,13 +80,20 @@
         registered = [found for found in ready if found.removed_at is None]
         return registered or ready
 
-    def expected_at(self, service: str, item: str) -> float | None:
-        """Return when an upstream is expected to hold an item; ``None`` if no load is planned."""
+    def expected_at(
+        self, service: str, item: str, software_version: str | None = None
+    ) -> float | None:
+        """Return when an upstream is expected to hold an item; ``None`` if no load is planned.
+
+        With a software version only its upstreams count; planned loads may be for others.
+        """
         times = [
             found.held.coming[item]
             for found in self._by_service[service].values()
-            if item in found.held.coming
+            if item in found.held.coming and software_version in (None, found.software_version)
         ]
+        if software_version is not None:
+            return min(times, default=None)
         _, planned = self._planned_loads.get(service, (None, {}))
         if planned.get(item, 0.0) > self._clock():  # else the order holder no longer reports
             times.append(planned[item])
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -1,9 +1,10 @@
 """Stand-in for one engine of the users' platform, or for a plain service without models.
 
-Run as ``python -m stand_ins.platform_engine NAME PORT STORE_PORT SERVICE MODEL,MODEL PUBLIC_PORT``.
-The optional public port is written into the engine's record in the store if others reach the
-engine on another port than its own. Answers carry the request's ID and a seal, which stands for
-the engine's signature.
+Run as ``python -m stand_ins.platform_engine NAME PORT STORE_PORT SERVICE MODEL,MODEL PUBLIC_PORT
+VERSION``. The optional public port is written into the engine's record in the store if others reach
+the engine on another port than its own. The optional version, of the engine's software, is written
+there and into each event of its streams. Answers carry the request's ID and a seal, which stands
+for the engine's signature.
 
 ``POST /test/fault`` sets the fault of the next requests: ``refuse`` answers 503 without running the
 request, ``vanish`` runs it and aborts the connection, ``tear`` aborts a stream in its fourth event,
@@ -72,7 +73,13 @@
     """Engine that loads models, executes orders in sequence and streams numbered events."""
 
     def __init__(
-        self, name: str, public_port: int, store: int, service: str, models: list[str]
+        self,
+        name: str,
+        public_port: int,
+        store: int,
+        service: str,
+        models: list[str],
+        version: str = "",
     ) -> None:
         self._name, self._public_port, self._store, self._service = (
             name,
@@ -82,6 +89,7 @@
         )
         self._born = int(time.time() * 1000)
         self._models = models
+        self._version = version
         self._sequence = 0
         self._busy = False
         self._faults: list[str] = []
@@ -148,6 +156,8 @@
             "models": self._describe_models(),
             "sequence": 1,
         }
+        if self._version:
+            entry["version"] = self._version
         items = {"items": {f"servers/{self._name}": json.dumps(entry)}}
         written = deferToThread(post, f"http://127.0.0.1:{self._store}/test/put", items)
         written.addErrback(lambda _: None)  # the next heartbeat writes it again
@@ -325,7 +335,8 @@
         if fault == "dribble" and number == 3:
             self._dribble(request)
             return
-        request.write(f"id: {number}\ndata: token {number}\n\n".encode())
+        made_by = f" of {self._version}" if self._version else ""
+        request.write(f"id: {number}\ndata: token {number}{made_by}\n\n".encode())
         if number == EVENTS_PER_STREAM:
             request.finish()
             return
@@ -343,7 +354,9 @@
     arguments = sys.argv[1:]
     held = [model for model in arguments[4].split(",") if model] if len(arguments) > 4 else []
     public_port = int(arguments[5]) if len(arguments) > 5 else int(arguments[1])
-    engine = PlatformEngineStandIn(arguments[0], public_port, int(arguments[2]), arguments[3], held)
+    engine = PlatformEngineStandIn(
+        arguments[0], public_port, int(arguments[2]), arguments[3], held, "".join(arguments[6:7])
+    )
     engine.listen = partial(listen, engine.handle, int(arguments[1]))
     engine.open_port()
     reactor.run()
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -220,6 +220,7 @@
             reactor=vm.reactor, pool=pool, directory=vm.directory  # type: ignore[arg-type]
         ),
         detour=SimpleNamespace(is_needed=lambda job: False),  # type: ignore[arg-type]
+        streams=SimpleNamespace(begin=lambda job, upstream: None),  # type: ignore[arg-type]
     )
     job = make_job(5)
     for name, value in RELAYED_JOB.items():
--- a/tests/steps/simulated_limits.py
+++ b/tests/steps/simulated_limits.py
@@ -70,6 +70,8 @@
         long_running=False,
         excluded_upstreams=set(),
         probe_upstreams=None,
+        stream_version=None,
+        takes_up=False,
         outcomes=[],
         permit_wait=None,
         sink=SimpleNamespace(forwarding_started=False),
@@ -115,6 +117,7 @@
             availability_zone=self.zone,
             trigger_planning=lambda: None,
             limits=self.limits,
+            prefer_version=lambda job: None,
         )
         self.limits.on_permits = self.picker.wake
         self.see_engine()
--- a/tests/steps/waiting_steps.py
+++ b/tests/steps/waiting_steps.py
@@ -40,6 +40,7 @@
             membership=SimpleNamespace(),
             link=SimpleNamespace(),
         ),
+        prefer_version=lambda job: None,
     )
     context.directory.on_change = context.picker.wake
     for name in ("e1", "e2"):
@@ -84,6 +85,7 @@
         long_running=False,
         permit_wait=None,
         excluded_upstreams=set(),
+        stream_version=None,
         probe_upstreams=None,
         remaining_first_byte_ms=lambda now: float(timeout_ms),
     )
--- /dev/null
+++ b/tests/streams/software_versions.feature
@@ -0,0 +1,37 @@
+Feature: A stream goes on only at the software version that began it
+
+  Scenario: Upstreams of two software versions break streams off
+    Given 3 nodes and engines of software versions 1.4 and 2.0
+    When callers send 200 streams while an engine of each version breaks streams off
+    Then no answer has events of two software versions
+    And nine tenths of the streams are complete, or more
+
+  Scenario: The only other engine that holds a stream's model has another version
+    Given 3 nodes and engines of software versions 1.4 and 2.0, with few replicas of models
+    When callers send 24 streams, each after one engine was told to break its next stream off
+    Then no answer has events of two software versions
+    And the streams that were broken off do not look complete
+
+  Scenario Outline: Nodes end, and their callers take streams up again at other nodes
+    Given 3 nodes and engines of software versions 1.4 and 2.0, <started>
+    When <ended> are killed at once while 40 streams run and callers take them up again
+    Then no stream has events of two software versions
+    And the share of taken-up streams that go on is at least nine tenths of that of new streams
+
+    Examples:
+      | started                | ended     |
+      | all of them at once    | all nodes |
+      | all of them at once    | 2 nodes   |
+      | those of 2.0 later     | all nodes |
+      | those of 2.0 later     | 1 nodes   |
+
+  Scenario: The engines of the old version leave right before all nodes end
+    Given 3 nodes and engines of software versions 1.4 and 2.0
+    When the engines of version 1.4 leave while 40 streams run, all nodes are killed and callers take streams up again
+    Then no stream has events of two software versions
+    And streams of version 1.4 are refused and those of version 2.0 go on
+
+  Scenario: A stream is taken up without the words which attempt began it
+    Given 3 nodes and engines of software versions 1.4 and 2.0
+    When a caller takes up a stream without naming the attempt that began it
+    Then the answer says that the request did not run
