Play streams through a VM that is cut off while the VMs that answer for it end

Four nodes, one cut off from the engines (connections reset, new ones closed), 24 streams through it, two VMs that answer for it killed.

--- a/tests/steps/software_version_steps.py
+++ b/tests/steps/software_version_steps.py
@@ -25,8 +25,11 @@
 from local.platform_deployment import PlatformDeployment
 from local.platform_deployment import call
 from local.platform_deployment import wait_until
+from soak.faulty_link import LinkMode
+from soak.fleet import SoakFleet
 
 FIRST_PORT = 11400
+LINKED_FIRST_PORT = 11800
 EVENTS = 8
 OLD, NEW = "1.4", "2.0"
 ENGINES = {"e1": OLD, "e2": OLD, "e3": NEW, "e4": NEW}
@@ -35,6 +38,9 @@
 TEARING = ("e1", "e3")  # a sound engine of each version is left
 DEADLINE_S = 8.0
 RETRY_PAUSE_S = 0.2
+OTHER_STREAMS = 100
+PROBES = 8  # streams by which a VM finds out that it is cut off
+CALM_S = 1.0
 PAUSE_S = 0.3  # lets an engine that broke a stream off rest
 BEGUN_S = 0.5  # streams are sent for so long before nodes end
 _EVENT = re.compile(rb"id: (\d+)\ndata: token \d+ of (\S+)\n\n")
@@ -155,6 +161,60 @@
     start_deployment(context, nodes, list(ENGINES), FEW_REPLICAS)
 
 
+@given("{nodes:d} nodes with links of their own to engines of software versions 1.4 and 2.0")
+def start_linked_nodes(context: Any, nodes: int) -> None:
+    fleet = context.deployment = SoakFleet(first_port=LINKED_FIRST_PORT, nodes=nodes)
+    fleet.software_versions = {"e1": OLD, "e2": NEW, "e3": OLD}
+    context.cleanups = [*getattr(context, "cleanups", []), fleet.stop]
+    fleet.start()
+    context.streams = []
+
+
+@when(
+    "{cut:d} node is cut off from them, {count:d} streams run through it, "
+    "and {killed:d} of the others are killed"
+)
+def cut_and_kill(context: Any, cut: int, count: int, killed: int) -> None:
+    fleet = context.deployment
+    nodes = list(fleet.caller_ports)
+    others = threading.Thread(  # the other VMs say that they reach the engines while they do
+        target=run_streams, args=[context, nodes[cut:], OTHER_STREAMS, 0.1]
+    )
+    others.start()
+    time.sleep(CALM_S)
+    for node in nodes[:cut]:
+        fleet.cut_off(node, LinkMode.REFUSE)
+        fleet.reset(node)
+    run_streams(context, nodes[:cut], PROBES, 0.1)
+    context.streams = []
+    for engine in ("e1", "e2"):
+        fleet.inject_fault(engine, "slow", 1000)
+    threads = begin_streams(context, nodes[:cut], count, BEGUN_S / count)
+    time.sleep(0.4)
+    for node in nodes[cut : cut + killed]:
+        fleet.signal(node, signal.SIGKILL)
+    for thread in [others, *threads]:
+        thread.join()
+
+
+def run_streams(context: Any, nodes: list[str], count: int, pause_s: float) -> None:
+    """Begin streams and wait for their ends."""
+    for thread in begin_streams(context, nodes, count, pause_s):
+        thread.join()
+
+
+def begin_streams(
+    context: Any, nodes: list[str], count: int, pause_s: float
+) -> list[threading.Thread]:
+    """Begin streams at nodes in turn, each in a thread of its own."""
+    threads = []
+    for number in range(count):
+        threads.append(threading.Thread(target=follow_stream, args=[context, nodes, number]))
+        threads[-1].start()
+        time.sleep(pause_s)
+    return threads
+
+
 def start_deployment(
     context: Any, nodes: int, engines: list[str], models: dict[str, str] = ALL_MODELS
 ) -> None:
@@ -221,11 +281,7 @@
     for engine in ENGINES:
         deployment.inject_fault(engine, "slow", 1000)
     nodes = list(deployment.caller_ports)
-    threads = []
-    for number in range(count):
-        threads.append(threading.Thread(target=follow_stream, args=[context, nodes, number]))
-        threads[-1].start()
-        time.sleep(BEGUN_S / count)
+    threads = begin_streams(context, nodes, count, BEGUN_S / count)
     time.sleep(0.4)
     for name in leaving:
         deployment.processes[name].kill()
--- a/tests/streams/software_versions.feature
+++ b/tests/streams/software_versions.feature
@@ -36,6 +36,12 @@
     When a caller takes up a stream without naming the attempt that began it
     Then the answer says that the request did not run
 
+  Scenario: A VM that is cut off passes streams on, and the VMs that answer for it end
+    Given 4 nodes with links of their own to engines of software versions 1.4 and 2.0
+    When 1 node is cut off from them, 24 streams run through it, and 2 of the others are killed
+    Then no stream has events of two software versions
+    And nine tenths of the streams are complete, or more
+
   Scenario Outline: Simulated VMs lose power while the software of a service is replaced
     Given <vms> simulated VMs and a service whose upstreams get a new software version
     When all of them lose power three times and single ones end
