--- a/src/cactusshunt/streams/stream_versions.py
+++ b/src/cactusshunt/streams/stream_versions.py
@@ -107,8 +107,6 @@
         self._records_doubtful = False  # the store was silent since the last write
         # keys of all VMs' streams: revision and when this VM saw the last change
         self._stored_keys: dict[str, tuple[int, float]] = {}
-        self.taken_up = 0
-        self.refused = 0
         era.on_change.append(self._write_again)
 
     @property
@@ -157,10 +155,8 @@
         origin = await self._find_origin(job)
         request, resumes = job.request_id.decode("latin-1"), job.begun_by.decode("latin-1")
         if origin.version is None:
-            self.refused += 1
             log_event("stream_not_taken_up", request=request, resumes=resumes)
             return NOT_KNOWN
-        self.taken_up += 1
         log_event(
             "stream_taken_up",
             request=request,
