--- a/src/cactusshunt/streams/stream_versions.py
+++ b/src/cactusshunt/streams/stream_versions.py
@@ -345,14 +345,12 @@
 
     def _remove_old_records(self, now: float) -> None:
         """Remove records that have not changed for twice the time that streams stay open."""
-        if self._rank(STREAMS_PREFIX) or self._store_is_silent():
-            return
         old = [
             key
             for key, (_, changed_at) in self._stored_keys.items()
             if now - changed_at > 2.0 * self._keep_s
         ][:MAX_REMOVED_KEYS]
-        if old:
+        if old and not self._store_is_silent() and self._rank(STREAMS_PREFIX) == 0:
             start_coroutine(self._remove(old))
 
     async def _remove(self, keys: list[str]) -> None:
