Keep the soak's ports away from those of the scenarios

Cause: the soak's links (10250 and above with its default first port 9600) stood on ports of tests/quarantine/deadly_requests.feature (10300 and above).

Change: the first port is 20000 by default.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -297,7 +297,7 @@
     minutes: Annotated[float, typer.Option(min=0.1)] = 1.0,
     nodes: Annotated[int, typer.Option(min=2, max=40)] = 4,
     callers: Annotated[int, typer.Option(min=1, max=200)] = 12,
-    first_port: Annotated[int, typer.Option(min=1024, max=60000)] = 9600,
+    first_port: Annotated[int, typer.Option(min=1024, max=60000)] = 20000,
     logs: Annotated[
         Path | None, typer.Option(help="Folder into which the logs are copied.")
     ] = None,
