Log what upstreams say of themselves, and what was known of them at each attempt

Change: `leaving_named`, `pause_named` and `pause_unreadable`; `attempt` has `notice`, what the upstream had said before the send. What was said is kept by run (name and start) in notices/; nothing acts on it yet.

--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -45,6 +45,7 @@
 from cactusshunt.node_log import log_event
 from cactusshunt.node_log import set_log_vm
 from cactusshunt.node_state import NodeState
+from cactusshunt.notices.upstream_notices import UpstreamNotices
 from cactusshunt.placement.demand_meter import DemandMeter
 from cactusshunt.placement.order_task import OrderTask
 from cactusshunt.platform import documents
@@ -199,6 +200,7 @@
             link=self._link,
             measure_store_silence_s=lambda: self._membership.store_silent_s(reactor.seconds()),
         )
+        self._notices = UpstreamNotices(reactor=reactor, vm=settings.node, link=self._link)
         self._peer_pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
         relay = Relay(
             reactor=reactor,
@@ -219,6 +221,7 @@
                 configuration_version=lambda: self._version,
             ),
             streams=self._streams,
+            notices=self._notices,
         )
         self._quarantine.on_crash = relay.record_crash
         self._handlers: dict[type[Message], Callable[[Any], None]] = {
--- a/src/cactusshunt/platform/headers.py
+++ b/src/cactusshunt/platform/headers.py
@@ -4,7 +4,9 @@
 
 import re
 
+from contextlib import suppress
 from dataclasses import dataclass
+from email.utils import parsedate_to_datetime
 from urllib.parse import quote
 from urllib.parse import unquote
 
@@ -20,13 +22,15 @@
 NOT_RUN = b"x-not-executed"  # set by an upstream that did not run the request; any value
 SERVER_LOAD = b"x-server-load"  # running requests, waiting requests, slots
 REQUEST_LIMIT = b"server-limit"  # requests a second that an upstream takes from all VMs together
+LEAVING = b"server-leaving"  # 1 in all answers of an upstream that leaves
 BRITTLE = b"server-brittle"  # requests a second that an upstream may turn away before it ends
 MODEL = b"x-model"  # MODEL or MODEL/ADAPTER
 TOKEN_COUNT = b"x-token-count"  # prompt tokens, maximum output tokens
 PROMPT_PREFIX = b"x-prompt-prefix"  # ID:TOKENS of each part; those shared with other prompts first
 PRIORITY = b"x-request-priority"  # 0 is the most urgent
 LAST_EVENT_ID = b"last-event-id"  # of the last event received, to continue a stream
-RETRY_AFTER = b"retry-after"  # s
+RETRY_AFTER = b"retry-after"  # s; the upstream that sends it wants no request for so long
+DATE = b"date"  # when an answer was made
 DETOUR = b"cactusshunt-detour"  # between VMs: the VM that passes a request on, its configuration
 DETOUR_RESULT = b"cactusshunt-detour-result"  # between VMs: in a VM's own answers to such requests
 # between VMs: the software version that began a stream, in requests passed on and answers to them
@@ -77,6 +81,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 MAX_NUMBER_LENGTH = 12  # digits
+MAX_PAUSE_S = 1e9  # of longer ones no clock will see the end
+_SECONDS = re.compile(rb"\d+(\.\d+)?")
 _DECIMAL_NUMBER = re.compile(rb"\d{1,12}(\.\d{1,12})?")
 
 
@@ -162,3 +168,39 @@
             remedy="The limit named before, if any, stays in force.",
         )
     return float(value)
+
+
+def read_leaving(headers: Headers) -> bool:
+    """Return whether an answer says that its upstream leaves."""
+    return any(key.lower() == LEAVING and value.strip() == b"1" for key, value in headers)
+
+
+def read_retry_after(headers: Headers) -> float | None:
+    """Return for how many seconds an upstream wants no request; ``None`` if it does not say.
+
+    Of several values the longest counts. A date counts from the answer's own ``Date``, so that the
+    clocks of the two need not agree. Raises ``HeaderValueError`` if no value can be read.
+    """
+    values = [value.strip() for key, value in headers if key.lower() == RETRY_AFTER]
+    if not values:
+        return None
+    made_at = find_header(headers, DATE)
+    readable = [
+        seconds for value in values if (seconds := _read_seconds(value, made_at)) is not None
+    ]
+    if not readable:
+        raise HeaderValueError(
+            reason=f"Retry-After is {values[0][:40]!r}, neither seconds nor a date.",
+            remedy="A pause that was named before, if any, goes on.",
+        )
+    return min(MAX_PAUSE_S, max(readable))
+
+
+def _read_seconds(value: bytes, made_at: bytes | None) -> float | None:
+    if _SECONDS.fullmatch(value):
+        return float(value)
+    with suppress(ValueError, TypeError, OverflowError):
+        until = parsedate_to_datetime(value.decode("ascii"))
+        since = parsedate_to_datetime((made_at or b"").decode("ascii"))
+        return max(0.0, (until - since).total_seconds())
+    return None
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -8,6 +8,7 @@
 from cactusshunt.exceptions import UpstreamNotReachedError
 from cactusshunt.http1.upstream_connection import ExchangeEnd
 from cactusshunt.node_log import log_event
+from cactusshunt.notices.departures import Run
 from cactusshunt.platform import headers as names
 from cactusshunt.platform.request_headers import build_request_headers
 from cactusshunt.quarantine.quarantine import AttemptEnd
@@ -36,6 +37,7 @@
     from cactusshunt.http1.connection_pool import ConnectionPool
     from cactusshunt.http1.upstream_connection import UpstreamConnection
     from cactusshunt.limits.request_limits import RequestLimits
+    from cactusshunt.notices.upstream_notices import UpstreamNotices
     from cactusshunt.quarantine.quarantine import Block
     from cactusshunt.quarantine.quarantine import Quarantine
     from cactusshunt.requests.admission import Refusal
@@ -78,8 +80,10 @@
         reach: ServiceReach,
         detour: Detour,
         streams: StreamVersions,
+        notices: UpstreamNotices,
     ) -> None:
         self._streams = streams
+        self._notices = notices
         self._reactor = reactor
         self._pool = pool
         self._directory = directory
@@ -222,11 +226,12 @@
             sent_at=now,
             long_running=job.long_running,
         )
-        job.sink.on_head = lambda: self._record_head(job, upstream)
+        run = Run(upstream=upstream.name, born=upstream.entry.born)
+        notice = self._notices.describe(run)
+        job.sink.on_head = lambda: self._record_head(job, upstream, run, now)
         job.sink.on_first_byte = lambda: self._record_first_byte(job, picked, upstream, attempt)
         self._streams.begin(job, upstream)
         upstream.begin(attempt)
-        born = upstream.entry.born
         self._quarantine.begin(job, upstream)
         self._reach.record_send(job.service)
         if job.generation is not None:
@@ -236,9 +241,10 @@
         self._pool.release(upstream.address, connection)
         outcome = self._classify_outcome(job, upstream, end)
         self._quarantine.end(
-            job, upstream, born=born, end=_describe_end(outcome, end, job.sink.status)
+            job, upstream, born=run.born, end=_describe_end(outcome, end, job.sink.status)
         )
         self._record_outcome(job, upstream, outcome, now, picked)
+        log_attempt(job, upstream, outcome, picked, now, self._now(), notice)
         return outcome
 
     def _headers(self, job: Job, upstream: Upstream, now: float) -> names.Headers:
@@ -251,9 +257,12 @@
             body_bytes=count_body_bytes(job),
         )
 
-    def _record_head(self, job: Job, upstream: Upstream) -> None:
+    def _record_head(self, job: Job, upstream: Upstream, run: Run, sent_at: float) -> None:
         self._reach.record_heard(job.service)
         self._limits.record_answer(upstream, job.sink.headers)
+        self._notices.record_answer(
+            upstream, run.born, status=job.sink.status, headers=job.sink.headers, sent_at=sent_at
+        )
 
     def _classify_outcome(self, job: Job, upstream: Upstream, end: ExchangeEnd) -> Outcome:
         sink = job.sink
@@ -307,7 +316,6 @@
             job.excluded_upstreams.add(upstream.name)
         if not job.attempt_first_byte_at and picked.work is not None and may_have_run(outcome):
             upstream.learn_rate_without_token(picked.work, (now - sent_at) * 1000.0)
-        log_attempt(job, upstream, outcome, picked, sent_at, now)
 
     def _record_failure(
         self, upstream: Upstream, *, unreached: bool, error_answer: bool = False
--- a/src/cactusshunt/requests/request_log.py
+++ b/src/cactusshunt/requests/request_log.py
@@ -22,13 +22,20 @@
 
 
 def log_attempt(
-    job: Job, upstream: Upstream, outcome: Outcome, picked: PickResult, sent_at: float, now: float
+    job: Job,
+    upstream: Upstream,
+    outcome: Outcome,
+    picked: PickResult,
+    sent_at: float,
+    now: float,
+    notice: str | None = None,
 ) -> None:
     """Log one attempt: the latency that the choice expected, and the outcome.
 
     ``expected_ms`` is 0 for a service without models. ``pending`` are the tokens queued before the
     request, ``own`` its uncached tokens, ``rate`` is in tokens per ms. ``waited_ms`` is the time
-    from the request's arrival to this send, including earlier attempts.
+    from the request's arrival to this send, including earlier attempts. ``notice`` is what the
+    upstream had said of itself before it.
     """
     log_event(
         "attempt",
@@ -50,6 +57,7 @@
         rate=round(upstream.rate, 1),
         priority=job.route.priority,
         waited_ms=_ms_since(job.request.arrived_at, sent_at),
+        notice=notice,
     )
     log_limits(job, upstream.name, picked)
 
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -26,6 +26,7 @@
 from cactusshunt.membership.messages import UpstreamLimit
 from cactusshunt.membership.messages import UpstreamPermits
 from cactusshunt.membership.messages import encode_message
+from cactusshunt.notices.upstream_notices import UpstreamNotices
 from cactusshunt.quarantine.quarantine import Quarantine
 from cactusshunt.requests.answer_sink import AnswerSink
 from cactusshunt.requests.relay import Relay
@@ -221,6 +222,7 @@
         ),
         detour=SimpleNamespace(is_needed=lambda job: False),  # type: ignore[arg-type]
         streams=SimpleNamespace(begin=lambda job, upstream: None),  # type: ignore[arg-type]
+        notices=UpstreamNotices(reactor=vm.reactor, vm="vm0", link=vm.link),
     )
     job = make_job(5)
     for name, value in RELAYED_JOB.items():
