--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -203,6 +203,19 @@
         """Let a plain instance turn requests away as it likes again."""
         call(self.upstream_ports[upstream], "POST", "/test/brittle", {})
 
+    def say(self, upstream: str, **notices: Any) -> None:
+        """Set what an upstream says of itself: ``leaving``, ``retry_after``."""
+        call(self.upstream_ports[upstream], "POST", "/test/notices", notices)
+
+    def fail_taken_up(self, engine: str, answer: str | None) -> None:
+        """Set how an engine answers streams that are taken up; ``None`` lets them go on."""
+        call(self.upstream_ports[engine], "POST", "/test/taken-up", {"answer": answer})
+
+    def echo_refusals(self, upstream: str, how: str, *, anonymous: bool = False) -> None:
+        """Make a plain instance write an earlier refusal once more, from its next answer on."""
+        body = {"how": how, "anonymous": anonymous}
+        call(self.upstream_ports[upstream], "POST", "/test/echo", body)
+
     def name_limit(self, engine: str, value: str | None, every: int = 1) -> None:
         """Make an upstream name a request limit in every ``every``-th answer; ``None`` ends it."""
         call(self.upstream_ports[engine], "POST", "/test/limit", {"value": value, "every": every})
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -24,6 +24,16 @@
 under a deadly part, when it has turned more than ``per_s`` away within a second. ``falls`` are
 their times.
 
+``POST /test/notices`` sets what the engine says of itself, see ``stand_ins.engine_notices``; a
+birth ends it. ``GET /test/runs`` lists under ``said`` ID, time and text of each answer that does.
+
+``POST /test/taken-up`` sets how streams that are taken up are answered from then on: a failure's
+status or ``refuse`` with an error's text, ``empty`` without events, ``json`` with another content
+type, ``anew`` from the first event, ``unsealed`` without a seal; ``null`` ends it.
+
+``POST /test/echo`` makes a plain instance write an earlier refusal once more: ``how`` is ``before``
+an answer, ``instead`` of it or ``after`` it; without the earlier request's ID if ``anonymous``.
+
 ``POST /test/limit`` sets the text of ``Server-Limit`` in every ``every``-th answer from then on;
 ``null`` ends it. ``GET /test/runs`` lists the IDs of the requests that ran, and under ``arrivals``
 ID, time and whether the answer names a limit of each request that arrived; standard output has a
@@ -45,6 +55,7 @@
 from twisted.internet.threads import deferToThread
 from twisted.web.server import NOT_DONE_YET
 
+from stand_ins.engine_notices import EngineNotices
 from stand_ins.http import abort_connection
 from stand_ins.http import encode_answer
 from stand_ins.http import listen
@@ -52,6 +63,8 @@
 from stand_ins.http import read_path
 from stand_ins.http import send_answer
 from stand_ins.reactor import reactor
+from stand_ins.spoilt_answers import RefusalEcho
+from stand_ins.spoilt_answers import answer_taken_up
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -108,6 +121,9 @@
         self._brittle_running = 0
         self._turned_away: list[float] = []
         self._falls: list[float] = []
+        self._notices = EngineNotices()
+        self._taken_up: str | None = None
+        self._echo = RefusalEcho()
         self._alive = True
         self.listen: Callable[[], IListeningPort] | None = None
         self._port: IListeningPort | None = None
@@ -136,6 +152,7 @@
         self._born = int(time.time() * 1000)
         self._models, self._sequence, self._busy = [], 0, False
         self._brittle_running = 0
+        self._notices.forget()
         self.open_port()
         self.register()
 
@@ -185,9 +202,19 @@
             body = read_json(request)
             self._limit, self._limit_every = body["value"], int(body.get("every", 1))
             return {}
+        if path == "/test/notices":
+            self._notices.configure(read_json(request))
+            return {}
+        if path == "/test/taken-up":
+            self._taken_up = read_json(request)["answer"]
+            return {}
+        if path == "/test/echo":
+            self._echo.configure(read_json(request))
+            return {}
         if path == "/test/runs":
             return {
                 "runs": self._runs,
+                "said": self._notices.said,
                 "arrivals": self._arrivals,
                 "cancelled": self._cancelled,
                 "deadly": self._deadly,
@@ -201,6 +228,7 @@
             request.setHeader("X-Request-Id", request_id)
         if request.getHeader("X-Expect-Instance") not in (None, self._name):
             return encode_answer(request, {}, 421)
+        self._notices.mark(request)
         if path == "/v1/report":
             return {
                 "models": self._describe_models(),
@@ -211,7 +239,7 @@
         if path == "/v1/order":
             return self._handle_order(request)
         if path == "/healthz":
-            return {}
+            return encode_answer(request, {}, 503) if self._notices.refuses(request) else {}
         return self._run(request)
 
     def _describe_models(self) -> list[dict[str, Any]]:
@@ -248,6 +276,9 @@
             print("deadly", request_id, time.time(), flush=True)
             reactor.callLater(2 * EVENT_INTERVAL_S, self._die, request_id, self._back_s)
         self._name_limit(request, request_id)
+        self._notices.record_arrival(request)
+        if self._notices.refuses(request):
+            return encode_answer(request, {}, 503)
         if self._brittle is not None and not self._takes_brittle(request, self._brittle):
             return encode_answer(request, {}, 503)
         model = request.getHeader("X-Model")
@@ -255,6 +286,7 @@
             return encode_answer(request, {}, 421)
         fault = self._faults.pop() if self._faults else ""
         if fault == "refuse":
+            self._echo.record_refusal(request_id)
             request.setHeader("X-Not-Executed", "1")
             return encode_answer(request, {}, 503)
         self._runs.append(request_id)
@@ -272,12 +304,19 @@
         if model is None:
             return self._answer_plainly(request, request_id)
         first = int(request.getHeader("Last-Event-Id") or 0)
+        if first and self._taken_up is not None:
+            failure = answer_taken_up(request, self._taken_up)
+            if failure is not None:
+                return failure
+            first = 0 if self._taken_up == "anew" else first
         request.setHeader("Content-Type", "text/event-stream")
         reactor.callLater(EVENT_INTERVAL_S, self._send_event, request, first + 1, fault)
         return NOT_DONE_YET
 
     def _answer_plainly(self, request: Request, request_id: str) -> Any:
         answer = {"id": request_id, "by": self._name}
+        if self._echo.spoil(request):
+            return NOT_DONE_YET
         if self._brittle is not None:
             reactor.callLater(float(self._brittle["work_s"]), self._finish_brittle, request, answer)
             return NOT_DONE_YET
