Give an engine that turns work away the pause that it asks for

What callers saw: requests reached an engine in the time of rest that it had asked their VM for, each cost a repeat at another engine, and once the repeats of a window were used up callers got 503 while sound engines held the model. Cause: Retry-After of an engine was not read, and an engine that refuses at once looks idle, so it drew more. Change: a 503 or 429 with Retry-After that belongs to the request pauses its engine's run at this VM: no request, order, report or probe until its end; a later one prolongs it. Other VMs are told and prefer other engines. After a pause one request goes first, at a moment that differs from VM to VM, the others once it is answered. If all engines rest, callers are refused at once with the length of the pause, so that they come back at the pace at which they came. Placement gives no orders meanwhile, and counts the items as absent while much of a pause is left. A pause is no failure, nor a crash.

--- a/src/cactusshunt/detour/detour.py
+++ b/src/cactusshunt/detour/detour.py
@@ -5,9 +5,11 @@
 import random
 
 from collections import Counter
+from contextlib import suppress
 from typing import TYPE_CHECKING
 from typing import Any
 
+from cactusshunt.exceptions import HeaderValueError
 from cactusshunt.exceptions import UpstreamNotReachedError
 from cactusshunt.http1.upstream_connection import ExchangeEnd
 from cactusshunt.membership.peer_link import DETOUR_MESSAGE_VERSION
@@ -116,6 +118,9 @@
         self._running[peer.vm] -= 1
         self._pool.release(address, connection)
         outcome = _classify_outcome(job, end)
+        if outcome is Outcome.NOT_RUN:
+            with suppress(HeaderValueError):
+                job.retry_after_s = names.read_retry_after(job.sink.headers) or job.retry_after_s
         log_event(
             "detour",
             request=job.request_id.decode("latin-1"),
--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -227,12 +227,14 @@
     """What one run of an upstream said of itself in an answer to some VM.
 
     ``born`` is the start of the run as the upstream's store entry gives it. ``leaving_ms`` is the
-    time since a VM learned that the run leaves, ``None`` if it does not.
+    time since a VM learned that the run leaves, ``None`` if it does not; ``pause_ms`` the time for
+    which it wants no request, 0 if it has not asked for a pause.
     """
 
     upstream: str
     born: int
     leaving_ms: int | None = None
+    pause_ms: int = 0
 
 
 class NoticeReport(msgspec.Struct, frozen=True, kw_only=True, tag="n", array_like=True):
--- a/src/cactusshunt/notices/pauses.py
+++ b/src/cactusshunt/notices/pauses.py
@@ -29,9 +29,11 @@
 
     It binds this VM until ``binds_until`` and ends at ``ends_at``, as the upstream said it to any
     VM; this VM's first request goes from ``returns_at`` on, and ``trial_ends_at`` is until when its
-    answer is awaited. ``asked_at`` is when the latest answer that asked for it arrived.
+    answer is awaited. ``began_at`` is when it became known, ``asked_at`` when the latest answer
+    that asked for it arrived.
     """
 
+    began_at: float
     asked_at: float
     binds_until: float
     ends_at: float
@@ -46,6 +48,14 @@
         """Return whether the next request may go, although others have to wait for its answer."""
         return now >= max(self.returns_at, self.trial_ends_at)
 
+    @property
+    def length_s(self) -> float:
+        """Return how long the pause takes, after which a caller that is refused should come back.
+
+        All callers wait for so long, so that they come back at the pace at which they came.
+        """
+        return self.returns_at - self.began_at
+
 
 def compute_return_spread_s(vms: int, slots: int) -> float:
     """Return the time over which the first requests of all VMs are spread after a pause."""
@@ -116,6 +126,7 @@
         else:
             returns_at = ends_at + self._random.uniform(0.0, spread_s)
         self._pauses[run] = Pause(
+            began_at=known.began_at if known is not None and now < known.ends_at else now,
             asked_at=now if binds or known is None else known.asked_at,
             binds_until=binds_until,
             ends_at=ends_at,
--- a/src/cactusshunt/notices/upstream_notices.py
+++ b/src/cactusshunt/notices/upstream_notices.py
@@ -1,4 +1,4 @@
-"""Keeps requests away from upstreams that say in their answers that they leave.
+"""Keeps requests away from upstreams that say in their answers that they leave or want a pause.
 
 Every path that sends something to an upstream asks here right before the bytes leave, and reports
 the answer (see docs/design/notices.md). What one VM learns, it tells the others.
@@ -22,6 +22,8 @@
 from cactusshunt.notices.pauses import compute_return_spread_s
 from cactusshunt.platform import headers as names
 from cactusshunt.platform.documents import READY
+from cactusshunt.requests.admission import MIN_RETRY_AFTER_S
+from cactusshunt.requests.admission import Refusal
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,6 +40,9 @@
 LAST_REQUESTS_FRACTION = 0.5
 MAX_REPORT_DELAY_S = 0.03  # the first VM that learns something tells the others
 REPORT_REPEATS_S = (0.15, 1.0)  # datagrams may be lost
+KNOWN_PAUSE_S = 0.25  # a pause that ends later by less is not reported again
+PAUSE_RETENTION_S = 30.0  # after its end, without a request
+RETRY_SPREAD_S = 0.3  # callers of one VM do not all come back at the same moment
 MAX_REPORTED = 200  # notices in one datagram, about 10 KB
 
 
@@ -75,8 +80,13 @@
     def may_send(self, upstream: Upstream, arrived_at: float) -> bool:
         """Return whether a caller's request that arrived at a time may be sent to an upstream.
 
-        One that leaves may get what was sent to this VM soon after it was known.
+        One that leaves may get what was sent to this VM soon after it was known; one that wants a
+        pause nothing, and one request after it until that is answered.
         """
+        pause = self._pauses.find(_run_of(upstream))
+        now = self._now()
+        if pause is not None and (pause.binds(now) or now < pause.trial_ends_at):
+            return False
         departure = self._directory.find_departure(upstream)
         if departure is None:
             return True
@@ -85,8 +95,52 @@
 
     def may_call(self, run: Run | None) -> bool:
         """Return whether an order, a report or a health check may be sent to a run."""
-        found = self._directory.find(run.upstream) if run is not None else None
-        return found is None or not found.leaving
+        if run is None:
+            return True
+        found = self._directory.find(run.upstream)
+        pause = self._pauses.find(run)
+        wants_pause = pause is not None and pause.binds(self._now())
+        return not wants_pause and (found is None or not found.leaving)
+
+    def begin(self, run: Run) -> None:
+        """Record that a caller's request is sent to a run."""
+        if not self._pauses.is_empty:
+            self._pauses.begin_trial(run, self._now())
+
+    @property
+    def any_pause(self) -> bool:
+        """Return whether any upstream wants a pause, or has not been sent a request since."""
+        return not self._pauses.is_empty
+
+    def wants_pause(self, run: Run, *, since: float) -> bool:
+        """Return whether a run has asked this VM for a pause since a time."""
+        pause = self._pauses.find(run)
+        return pause is not None and pause.binds_until > pause.asked_at >= since
+
+    def select_awake(self, upstreams: list[Upstream]) -> list[Upstream] | Refusal:
+        """Return the upstreams that want requests, or why a request is refused if none does.
+
+        If there are no others, one that asked another VM for a pause may be asked by this one.
+        """
+        now = self._now()
+        pauses = {found.name: self._pauses.find(_run_of(found)) for found in upstreams}
+        awake, asked_elsewhere = [], []
+        for found in upstreams:
+            pause = pauses[found.name]
+            if pause is None or pause.is_over(now):
+                awake.append(found)
+            elif not pause.binds(now) and now < pause.ends_at and now >= pause.trial_ends_at:
+                asked_elsewhere.append(found)
+        if awake or asked_elsewhere or not upstreams:
+            return awake or asked_elsewhere
+        known = [pause for pause in pauses.values() if pause is not None]
+        return_s = min(pause.length_s if now < pause.returns_at else 0.0 for pause in known)
+        return Refusal(
+            reason="upstreams want a pause",
+            retry_after_s=max(MIN_RETRY_AFTER_S, return_s)
+            + self._random.uniform(0.0, RETRY_SPREAD_S),
+            may_wait=not all(pause.binds(now) for pause in known),
+        )
 
     def list_last_resort(self, service: str, arrived_at: float) -> list[Upstream]:
         """Return the upstreams that leave and may still get a request if no other can take it."""
@@ -107,9 +161,9 @@
                 self._report_later(run)
         seconds = self._read_pause_s(run, status, headers)
         if seconds:
-            self._record_pause(run, status, seconds)
-        elif not self._pauses.is_empty:
-            self._pauses.record_answer(run, sent_at, self._now())
+            self._record_own_pause(run, status, seconds)
+        elif not self._pauses.is_empty and self._pauses.record_answer(run, sent_at, self._now()):
+            self._show_pause(run)
 
     def apply_message(self, report: NoticeReport) -> None:
         """Apply what another VM has learned."""
@@ -121,13 +175,25 @@
                 departure = Departure(known_since=now - age_ms / 1000.0, unix_ms=unix_ms - age_ms)
                 self._record_departure(run, departure, source=report.vm)
                 self._unreported.discard(run)
+            if notice.pause_ms > 0:
+                ends_at = now + min(names.MAX_PAUSE_S, notice.pause_ms / 1000.0)
+                self._pauses.record_reported(run, ends_at, now, self._compute_spread_s(run))
+                self._show_pause(run)
 
     def tick(self) -> None:
-        """Tell VMs that are new what is known."""
+        """Tell VMs that are new what is known, and forget pauses that are long over."""
+        now = self._now()
+        for run, pause in self._pauses.list_all().items():
+            # The entry of a running upstream may be missing for a while.
+            is_replaced = self.find_run(run.upstream) not in (None, run)
+            if is_replaced or now > pause.returns_at + PAUSE_RETENTION_S:
+                self._pauses.forget(run)
         peers = frozenset(self._link.list_notice_peers())
         new_peers, self._known_peers = peers - self._known_peers, peers
         if new_peers:
-            report = self._make_report(self._directory.list_departures())
+            report = self._make_report(
+                [*self._pauses.list_all(), *self._directory.list_departures()]
+            )
             if report.notices:
                 self._link.send(report, sorted(new_peers))
 
@@ -156,7 +222,9 @@
             log_event("pause_unreadable", upstream=run.upstream, reason=error.reason)
             return 0.0
 
-    def _record_pause(self, run: Run, status: int, seconds: float) -> None:
+    def _record_own_pause(self, run: Run, status: int, seconds: float) -> None:
+        now = self._now()
+        known = self._pauses.find(run)
         log_event(
             "pause_named",
             upstream=run.upstream,
@@ -165,10 +233,22 @@
             status=status,
             source=self._vm,
         )
+        self._pauses.record_own(run, seconds, now, self._compute_spread_s(run))
+        self._show_pause(run)
+        if known is None or known.ends_at < now + seconds - KNOWN_PAUSE_S:
+            self._report_later(run)
+
+    def _compute_spread_s(self, run: Run) -> float:
         found = self._directory.find(run.upstream)
         slots = found.entry.slots if found is not None else 1
-        spread_s = compute_return_spread_s(1 + len(self._link.peers), slots)
-        self._pauses.record_own(run, seconds, self._now(), spread_s)
+        return compute_return_spread_s(1 + len(self._link.peers), slots)
+
+    def _show_pause(self, run: Run) -> None:
+        """Let placement and probes see until when an upstream wants a pause."""
+        found = self._directory.find(run.upstream)
+        if found is not None and found.entry.born == run.born:
+            pause = self._pauses.find(run)
+            found.paused_until = pause.ends_at if pause is not None else 0.0
 
     def _report_later(self, run: Run) -> None:
         """Tell the other VMs, unless one of them has told this VM by then."""
@@ -191,15 +271,17 @@
     def _make_report(self, runs: Iterable[Run]) -> NoticeReport:
         now = self._now()
         departures = self._directory.list_departures()
-        notices = [
-            UpstreamNotice(
+        notices = []
+        for run in runs:
+            departure, pause = departures.get(run), self._pauses.find(run)
+            notice = UpstreamNotice(
                 upstream=run.upstream,
                 born=run.born,
-                leaving_ms=int((now - departures[run].known_since) * 1000),
+                leaving_ms=int((now - departure.known_since) * 1000) if departure else None,
+                pause_ms=max(0, int((pause.ends_at - now) * 1000)) if pause else 0,
             )
-            for run in runs
-            if run in departures
-        ]
+            if departure is not None or notice.pause_ms:
+                notices.append(notice)
         return NoticeReport(vm=self._vm, notices=notices[-MAX_REPORTED:])
 
     def _now(self) -> float:
--- a/src/cactusshunt/placement/engine_ledger.py
+++ b/src/cactusshunt/placement/engine_ledger.py
@@ -246,15 +246,20 @@
         now: float,
         speed: float = 1.0,
         limited: bool = False,
+        paused_s: float = 0.0,
     ) -> EngineState:
-        """Return the engine's part of a placement decision's input."""
+        """Return the engine's part of a placement decision's input.
+
+        ``paused_s`` is what is left of a pause that it wants.
+        """
+        free_in_s = self._free_in_s(now)
         return EngineState(
             name=self.name,
             availability_zone=availability_zone,
             capacity_mb=capacity_mb,
             adapter_slots=adapter_slots,
             sequence=self.sequence,
-            busy=not self.can_take_order(now),
+            busy=paused_s > 0.0 or not self.can_take_order(now),
             models={model: frozenset(adapters) for model, adapters in self.models.items()},
             coming=frozenset(
                 item
@@ -267,7 +272,7 @@
             running=running,
             speed=speed,
             limited=limited,
-            free_in_s=self._free_in_s(now),
+            free_in_s=max(free_in_s or 0.0, paused_s) if paused_s else free_in_s,
             since_unanswered_s=now - self.unanswered_at,
             loaded_at=self.loaded_at,
         )
--- a/src/cactusshunt/placement/fleet_view.py
+++ b/src/cactusshunt/placement/fleet_view.py
@@ -22,6 +22,8 @@
     from cactusshunt.platform.documents import EngineSpec
     from cactusshunt.routing.upstream import Upstream
 
+LONG_PAUSE_S = 2.0  # left of a pause; most loads elsewhere take less
+
 
 def describe_fleet(
     *,
@@ -33,8 +35,15 @@
     fleet_demand: FleetDemand,
     weight_store_loads: int,
 ) -> FleetState:
-    """Return the state of a service's ready engines, and the demand reported by all VMs."""
-    ready = [upstream for upstream in upstreams if upstream.ready]
+    """Return the state of a service's ready engines, and the demand reported by all VMs.
+
+    An engine that wants a pause gets no orders, and in a long one its items count as absent.
+    """
+    ready = [
+        upstream
+        for upstream in upstreams
+        if upstream.ready and upstream.paused_until < now + LONG_PAUSE_S
+    ]
     usual_tokens_per_ms = (
         median(upstream.rate for upstream in ready) if ready else DEFAULT_TOKENS_PER_MS
     )
@@ -48,6 +57,7 @@
                 upstream, len(ledgers[upstream.name].models), usual_tokens_per_ms
             ),
             limited=upstream.request_limit_per_s is not None,
+            paused_s=max(0.0, upstream.paused_until - now),
             now=now,
         )
         for upstream in ready
--- a/src/cactusshunt/quarantine/probes.py
+++ b/src/cactusshunt/quarantine/probes.py
@@ -110,7 +110,11 @@
             usable = [found for found in usable if found.holds(model, adapter, now)]
             if not usable:
                 return None
-        sound = [found for found in usable if not found.failure_history.resting(now)]
+        sound = [
+            found
+            for found in usable
+            if not found.failure_history.resting(now) and found.paused_until <= now
+        ]
         spares = spare_last and len(sound) == 1
         return frozenset(
             found.name
--- a/src/cactusshunt/requests/admission.py
+++ b/src/cactusshunt/requests/admission.py
@@ -24,10 +24,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Refusal:
-    """Reason for which a request is not sent, and the time after which to retry (seconds)."""
+    """Reason for which a request is not sent, and the time after which to retry (seconds).
+
+    With ``may_wait`` the reason may end so soon that a request within its latency objective waits.
+    """
 
     reason: str
     retry_after_s: float
+    may_wait: bool = False
 
 
 def check_expected_latency(
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -195,27 +195,27 @@
             job.done
             or job.connection.disconnected
             or upstream.removed_at is not None
-            or not self._notices.may_send(upstream, job.request.arrived_at)
             or job.stream_version not in (None, upstream.software_version)
         ):
             self._pool.release(upstream.address, connection)
             self._limits.return_permit(picked.permit)
             job.excluded_upstreams.add(upstream.name)
             return Outcome.CALLER_GONE if job.connection.disconnected else Outcome.NOT_REACHED
-        if not self._limits.may_send(upstream.name, picked.permit):
-            # The permit ended, or the limit became known, while the connection was opened.
-            self._pool.release(upstream.address, connection)
-            return Outcome.NOT_REACHED
-        if not self._limits.room.has_room(upstream):
-            self._pool.release(upstream.address, connection)
-            self._limits.return_permit(picked.permit)
-            return Outcome.NOT_REACHED
-        if not self._quarantine.may_send(job, upstream):
+        if not self._may_write(job, picked, upstream):
             self._pool.release(upstream.address, connection)
             self._limits.return_permit(picked.permit)
             return Outcome.NOT_REACHED
         return await self._exchange(job, picked, upstream, connection)
 
+    def _may_write(self, job: Job, picked: PickResult, upstream: Upstream) -> bool:
+        """Ask right before the bytes leave; much may have changed while the connection opened."""
+        return (
+            self._limits.room.has_room(upstream)
+            and self._quarantine.may_send(job, upstream)
+            and self._notices.may_send(upstream, job.request.arrived_at)
+            and self._limits.may_send(upstream.name, picked.permit)
+        )
+
     async def _exchange(
         self, job: Job, picked: PickResult, upstream: Upstream, connection: UpstreamConnection
     ) -> Outcome:
@@ -231,6 +231,7 @@
         notice = self._notices.describe(run)
         job.sink.on_head = lambda: self._record_head(job, upstream, run, now)
         job.sink.on_first_byte = lambda: self._record_first_byte(job, picked, upstream, attempt)
+        self._notices.begin(run)
         self._streams.begin(job, upstream)
         upstream.begin(attempt)
         self._quarantine.begin(job, upstream)
@@ -241,10 +242,12 @@
         upstream.end(attempt)
         self._pool.release(upstream.address, connection)
         outcome = self._classify_outcome(job, upstream, end)
-        self._quarantine.end(
-            job, upstream, born=run.born, end=_describe_end(outcome, end, job.sink.status)
-        )
-        self._record_outcome(job, upstream, outcome, now, picked)
+        attempt_end = _describe_end(outcome, end, job.sink.status)
+        wants_pause = self._notices.wants_pause(run, since=now)
+        if wants_pause and end is ExchangeEnd.COMPLETE:
+            attempt_end = AttemptEnd.OTHER
+        self._quarantine.end(job, upstream, born=run.born, end=attempt_end)
+        self._record_outcome(job, upstream, outcome, now, picked, wants_pause=wants_pause)
         log_attempt(job, upstream, outcome, picked, now, self._now(), notice)
         return outcome
 
@@ -306,12 +309,19 @@
             upstream.record_load(int(parts[0]), int(parts[1]), self._now())
 
     def _record_outcome(
-        self, job: Job, upstream: Upstream, outcome: Outcome, sent_at: float, picked: PickResult
+        self,
+        job: Job,
+        upstream: Upstream,
+        outcome: Outcome,
+        sent_at: float,
+        picked: PickResult,
+        *,
+        wants_pause: bool,
     ) -> None:
         now = self._now()
         if outcome is Outcome.ANSWERED:
             upstream.failure_history = record_success(upstream.failure_history)
-        elif outcome in (Outcome.UNKNOWN, Outcome.FAILED):
+        elif outcome in (Outcome.UNKNOWN, Outcome.FAILED) and not wants_pause:
             self._record_failure(upstream, unreached=False, error_answer=outcome is Outcome.FAILED)
         if outcome in (Outcome.ABSENT, Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.FAILED):
             job.excluded_upstreams.add(upstream.name)
--- a/src/cactusshunt/requests/upstream_picker.py
+++ b/src/cactusshunt/requests/upstream_picker.py
@@ -45,7 +45,7 @@
 
 LAST_REFUSALS_RESERVE_S = 0.3  # time to send them before the process ends
 STOPPING_RETRY_AFTER_S = 0.1  # another VM can accept the request at once
-NO_ROOM = Refusal(reason="brittle upstreams have no room", retry_after_s=0.3)
+NO_ROOM = Refusal(reason="brittle upstreams have no room", retry_after_s=0.3, may_wait=True)
 # no upstream has the software version that began the stream
 VERSION_AWAY = Refusal(reason="no upstream of the stream's version", retry_after_s=0.5)
 ALL_LEAVE = Refusal(reason="all upstreams leave", retry_after_s=1.0)
@@ -152,13 +152,17 @@
         now = self._now()
         room_ends_at = now + self._find_latency_limit_ms(job, now) / 1000.0
         picked = await self._pick_once(job)
-        while picked.refusal is NO_ROOM and self._now() < room_ends_at:
+        while self._may_wait(picked) and self._now() < room_ends_at:
             if job.done or job.connection.disconnected:
                 return _IGNORED
             await self._wait_for_change(ROOM_RECHECK_INTERVAL_S, job.route.priority)
             picked = await self._pick_once(job)
         return picked
 
+    @staticmethod
+    def _may_wait(picked: PickResult) -> bool:
+        return picked.refusal is not None and picked.refusal.may_wait
+
     async def _pick_once(self, job: Job) -> PickResult:
         """Return an upstream, waiting for a load or permit, or that none has room."""
         picked = self._choose(job)
@@ -281,7 +285,10 @@
         with_room = [found for found in known if self._limits.room.has_room(found)]
         if known and not with_room:
             return PickResult(refusal=NO_ROOM)
-        usable = self._prefer_healthy(with_room, job, now)
+        awake = self._list_awake(with_room, job)
+        if isinstance(awake, Refusal):
+            return PickResult(refusal=awake)
+        usable = self._prefer_healthy(awake, job, now)
         if not usable:
             return PickResult(refusal=Refusal(reason="no upstream", retry_after_s=0.3))
         candidates = [self._make_candidate(found, job, now) for found in usable]
@@ -311,7 +318,10 @@
         with_room = [found for found in holders if self._limits.room.has_room(found)]
         if holders and not with_room:
             return PickResult(refusal=NO_ROOM)
-        healthy = self._prefer_healthy(with_room, job, now)
+        awake = self._list_awake(with_room, job)
+        if isinstance(awake, Refusal):
+            return PickResult(refusal=self._shorten(awake, job, now))
+        healthy = self._prefer_healthy(awake, job, now)
         if not healthy:
             return None
         candidates = {found.name: self._make_candidate(found, job, now) for found in healthy}
@@ -399,6 +409,22 @@
         model, adapter = job.generation.model, job.generation.adapter
         return [found for found in upstreams if found.holds(model, adapter, now)]
 
+    def _list_awake(self, upstreams: list[Upstream], job: Job) -> list[Upstream] | Refusal:
+        """Return the upstreams that want requests, or why the request is refused if none does."""
+        if not self._notices.any_pause:
+            return upstreams
+        untried = [found for found in upstreams if found.name not in job.excluded_upstreams]
+        return self._notices.select_awake(untried)
+
+    def _shorten(self, refusal: Refusal, job: Job, now: float) -> Refusal:
+        """Return the refusal with an earlier time if another engine is about to hold the item."""
+        expected_at = self._expected_at(job)
+        if expected_at is None:
+            return refusal
+        return replace(
+            refusal, retry_after_s=max(0.1, min(refusal.retry_after_s, expected_at - now))
+        )
+
     def _list_preferred(self, upstreams: list[Upstream], job: Job) -> list[Upstream]:
         """Return the upstreams of the version that should begin the stream, if there are any."""
         version = self._prefer_version(job)
--- a/stand_ins/engine_notices.py
+++ b/stand_ins/engine_notices.py
@@ -22,11 +22,16 @@
         self.said: list[tuple[str, float, str]] = []
         self._leaving = False
         self._retry_after: str | None = None
+        self._not_run = True
 
     def configure(self, body: dict[str, Any]) -> None:
-        """Apply a test call: ``leaving``, and ``retry_after``, a header's text or ``null``."""
+        """Apply a test call: ``leaving``, and ``retry_after``, a header's text or ``null``.
+
+        With ``not_run`` false its refusals do not say that the request did not run.
+        """
         self._leaving = bool(body.get("leaving", self._leaving))
         self._retry_after = body.get("retry_after", self._retry_after)
+        self._not_run = bool(body.get("not_run", True))
 
     def forget(self) -> None:
         """Say nothing any more, as after a restart."""
@@ -42,7 +47,8 @@
         """Return whether a request is turned away, and add why to its answer."""
         if self._retry_after is None:
             return False
-        request.setHeader("X-Not-Executed", "1")
+        if self._not_run:
+            request.setHeader("X-Not-Executed", "1")
         request.setHeader("Retry-After", self._retry_after)
         self._record(request, self._retry_after)
         return True
--- a/tests/steps/simulated_quarantine.py
+++ b/tests/steps/simulated_quarantine.py
@@ -71,6 +71,7 @@
     address: tuple[str, int] = ("", 0)
     ready: bool = True
     removed_at: float | None = None
+    paused_until: float = 0.0
     entry: Any = field(
         default_factory=lambda: SimpleNamespace(born=1, version="1", service=SERVICE)
     )
