Break a stream off when the next engine does not go on with it

What callers saw: a stream that had begun and broke off ended as if it were complete, or began anew in the middle. Cause: an attempt that took a stream up and was answered with a failure was forwarded like a first answer; with a part of the stream at the caller that only ended it. An answer without events, or with events from the beginning, was taken as its rest. Class: what a second attempt may answer was judged like a first one. Change: only a success that goes on with rising ids, of the same content type and with at least one event, is the rest of a stream; anything else is tried elsewhere while attempts are left, and then the answer is broken off without its end.

--- a/src/cactusshunt/detour/detour.py
+++ b/src/cactusshunt/detour/detour.py
@@ -179,7 +179,7 @@
     if said is not None:
         return _OUTCOMES.get((said, sink.status), Outcome.ANSWERED)
     if sink.succeeded:
-        unfinished = job.route.streams and sink.events.incomplete
+        unfinished = job.route.streams and sink.unfinished
         return Outcome.UNKNOWN if unfinished else Outcome.ANSWERED
     if sink.status in names.REFUSAL_STATUSES or 300 <= sink.status < 400:
         return Outcome.UNKNOWN
--- a/src/cactusshunt/platform/headers.py
+++ b/src/cactusshunt/platform/headers.py
@@ -44,6 +44,7 @@
 RESUMES = b"resumes"  # ID of the caller's attempt that brought the stream's first event
 DETOUR_NOT_RUN, DETOUR_UNKNOWN = b"not-run", b"unknown"  # the request did not run, or may have
 CONTENT_ENCODING = b"content-encoding"
+CONTENT_TYPE = b"content-type"
 KEEP_ALIVE = b"keep-alive"
 
 SYSTEM_HEADERS = frozenset(
@@ -109,6 +110,11 @@
     return None
 
 
+def read_content_type(headers: Headers) -> bytes:
+    """Return the media type of an answer in lower case, without parameters; empty without one."""
+    return (find_header(headers, CONTENT_TYPE) or b"").partition(b";")[0].strip().lower()
+
+
 def read_connection_options(headers: Headers) -> frozenset[bytes]:
     """Return the lower-case options that all ``Connection`` headers list."""
     options = b",".join(value for key, value in headers if key.lower() == b"connection")
--- a/src/cactusshunt/requests/answer_sink.py
+++ b/src/cactusshunt/requests/answer_sink.py
@@ -23,7 +23,8 @@
 
     ``longest_gap_s`` is the longest pause between two chunks forwarded to the caller;
     ``forwarding_started`` means that the caller has received a part of the answer;
-    ``identified`` means that the latest answer has the request's id;
+    ``identified`` means that the latest answer has the request's id; ``unfinished`` that a stream
+    ended inside an event, or that an answer that should go on with it brought no event;
     ``rejected`` means that ``receive_head`` rejected the latest answer; ``on_head`` is called when
     it accepted one with the request's id, ``on_begin`` before the first part is forwarded.
     ``extra_headers`` are added to the answer.
@@ -46,6 +47,9 @@
         self._chunks: list[bytes] = []
         self._buffered_bytes = 0
         self._forwards_body = False
+        self._content_type = b""  # of the answer of which the caller has a part
+        self._resumes = False  # the latest answer should go on with a stream
+        self._events_before = 0
         self.events = EventSplitter()
         self.forwarding_started = False
         self.status = 0
@@ -71,11 +75,17 @@
         """Return whether the upstream answered with a 2xx status."""
         return 200 <= self.status < 300
 
+    @property
+    def unfinished(self) -> bool:
+        """Return whether a stream's latest answer cannot be its end."""
+        brought_nothing = self._resumes and self.events.count == self._events_before
+        return bool(self.events.incomplete) or brought_nothing
+
     def receive_head(self, status: int, headers: Headers) -> bool:
         """Record status and headers; ``False`` if the answer is rejected.
 
         An answer with another request's id is rejected, and a successful answer without an id or a
-        signature or with a content encoding.
+        signature, with a content encoding, or of another type than the stream that it goes on with.
         """
         self.status = status
         self.headers = headers
@@ -93,7 +103,9 @@
             return True
         signed = names.find_header(headers, names.RESPONSE_SEAL) is not None
         encoded = names.find_header(headers, names.CONTENT_ENCODING) is not None
-        if not signed or encoded or answered is None:
+        content_type = names.read_content_type(headers)
+        other_type = self._resumes and content_type != self._content_type
+        if not signed or encoded or answered is None or other_type:
             self.rejected = True
             return False
         self._forwards_body = self._streams
@@ -112,6 +124,9 @@
             self._chunks.append(data)
             self._buffered_bytes += len(data)
             return self._keep_if(self._buffered_bytes <= MAX_BUFFERED_BYTES)
+        if self._resumes and self.events.goes_back(data):
+            self.rejected = True
+            return False
         complete = self.events.add(data)
         if complete:
             self._forward(complete)
@@ -164,7 +179,9 @@
         self.status = 0
         self.rejected = False
         self.identified = False
+        self._resumes = self.forwarding_started
         self.events.discard_incomplete()
+        self._events_before = self.events.count
         if self._held:
             self.drop_held()
             self.events = EventSplitter()
@@ -175,6 +192,7 @@
             return
         if not self.forwarding_started:
             self.forwarding_started = True
+            self._content_type = names.read_content_type(self.headers)
             self.on_begin()
             forwarded = names.select_forwarded_headers(self.headers)
             self._connection.write_head(self.status, [*forwarded, *self.extra_headers])
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -122,7 +122,9 @@
             step = decide_next(outcome, repeatable=job.repeatable)
             if step is NextStep.TRY_OTHER and self._may_try_another(job, outcome):
                 continue
-            if step is NextStep.ANSWER or outcome is Outcome.FAILED:
+            is_answer = step is NextStep.ANSWER or outcome is Outcome.FAILED
+            # A failure is no end of a stream of which the caller has a part.
+            if is_answer and (outcome is Outcome.ANSWERED or not job.sink.forwarding_started):
                 self._forward_answer(job)
                 return
             self._answer_locally(job, outcome.value)
@@ -286,7 +288,7 @@
             self._limits.room.record_turned_away(upstream)
             return Outcome.NOT_RUN
         if sink.succeeded:
-            if job.route.streams and sink.events.incomplete:
+            if job.route.streams and sink.unfinished:
                 return Outcome.UNKNOWN
             return Outcome.ANSWERED
         # Without x-not-executed a refusal is not proven. Callers would take its status as not run.
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -7,7 +7,8 @@
 for the engine's signature.
 
 ``POST /test/fault`` sets the fault of the next requests: ``refuse`` answers 503 without running the
-request, ``vanish`` runs it and aborts the connection, ``tear`` aborts a stream in its fourth event,
+request, ``vanish`` runs it and aborts the connection, ``tear`` aborts a stream in its fourth event
+and ``tear-new`` only one that is not taken up,
 ``foreign`` answers with the ID of another request, ``stale`` runs the request and then sends a
 refusal without an ID, as a late copy of an earlier answer, ``dribble`` sends a byte of a stream now
 and then and never ends it, ``slow`` sends its events ten times as slowly. ``drain`` takes effect at
@@ -284,7 +285,7 @@
         model = request.getHeader("X-Model")
         if model is not None and model not in self._models:
             return encode_answer(request, {}, 421)
-        fault = self._faults.pop() if self._faults else ""
+        fault = self._take_fault(request)
         if fault == "refuse":
             self._echo.record_refusal(request_id)
             request.setHeader("X-Not-Executed", "1")
@@ -313,6 +314,17 @@
         reactor.callLater(EVENT_INTERVAL_S, self._send_event, request, first + 1, fault)
         return NOT_DONE_YET
 
+    def _take_fault(self, request: Request) -> str:
+        """Return the fault of a request; ``tear-new`` spares streams that are taken up."""
+        if not self._faults:
+            return ""
+        if self._faults[-1] == "tear-new":
+            if request.getHeader("Last-Event-Id"):
+                return ""
+            self._faults.pop()
+            return "tear"
+        return self._faults.pop()
+
     def _answer_plainly(self, request: Request, request_id: str) -> Any:
         answer = {"id": request_id, "by": self._name}
         if self._echo.spoil(request):
