Pass over an earlier answer that an upstream writes once more, and never send an ID twice on a connection

What callers saw: 502 for requests that may run once, whenever a faulty instance wrote an earlier refusal again on the kept connection; and, for a request that bore the ID of one that was refused there, 503 although it had run. Cause: an answer with another ID, or without one, ended the exchange as unknown. A refusal with the right ID counted as the answer, though it may be that to an earlier request with this ID. Change: for a request that may run once the connection passes over up to two such answers and reads on, for four times the latency objective at most; what may be repeated is sent again, as before. A connection remembers the IDs it has carried, and a request whose ID it has carried goes over a new one.

--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -211,9 +211,12 @@
         """Set how an engine answers streams that are taken up; ``None`` lets them go on."""
         call(self.upstream_ports[engine], "POST", "/test/taken-up", {"answer": answer})
 
-    def echo_refusals(self, upstream: str, how: str, *, anonymous: bool = False) -> None:
-        """Make a plain instance write an earlier refusal once more, from its next answer on."""
-        body = {"how": how, "anonymous": anonymous}
+    def echo_refusals(self, upstream: str, how: str, **options: bool) -> None:
+        """Make a plain instance write an earlier refusal once more, from its next answer on.
+
+        ``options`` are ``anonymous`` and ``kept``, see ``stand_ins.spoilt_answers``.
+        """
+        body = {"how": how, **options}
         call(self.upstream_ports[upstream], "POST", "/test/echo", body)
 
     def name_limit(self, engine: str, value: str | None, every: int = 1) -> None:
--- a/src/cactusshunt/http1/collected_answer.py
+++ b/src/cactusshunt/http1/collected_answer.py
@@ -37,6 +37,10 @@
         """Return the body received so far."""
         return b"".join(self._parts)
 
+    def is_stray(self, headers: Headers) -> bool:
+        """Return ``False``: whose answer it is, is found out by who made the call."""
+        return False
+
     def receive_head(self, status: int, headers: Headers) -> bool:
         """Store status and headers."""
         self.status = status
--- a/src/cactusshunt/http1/upstream_connection.py
+++ b/src/cactusshunt/http1/upstream_connection.py
@@ -4,6 +4,7 @@
 
 import enum
 
+from collections import deque
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Protocol as Interface
@@ -22,6 +23,9 @@
 
 Headers = list[tuple[bytes, bytes]]
 MAX_INTERIM_ANSWERS = 16  # 1xx heads before the answer; usually there is none or one
+MAX_STRAY_ANSWERS = 2  # before the answer to a request, each an earlier one written once more
+MAX_STRAY_BYTES = 1_048_576  # of their bodies
+MAX_CARRIED = 256  # remembered IDs of earlier requests on a connection
 MAX_HEAD_BYTES = 65_536  # four times the 16,384 that callers may send without a configuration
 
 
@@ -38,6 +42,9 @@
 class AnswerReceiver(Interface):
     """Receives an answer in parts, as they arrive."""
 
+    def is_stray(self, headers: Headers) -> bool:
+        """Return whether an answer belongs to an earlier request, and the own one may follow."""
+
     def receive_head(self, status: int, headers: Headers) -> bool:
         """Receive status and headers; ``False`` rejects the answer and aborts the connection."""
 
@@ -54,6 +61,11 @@
         self._exchange_done: Deferred[ExchangeEnd] | None = None
         self._answer_begun = False
         self._interim_answers = 0
+        self._method = b""
+        self._skipping = False  # a stray answer is being read
+        self._stray_answers = 0
+        self._stray_bytes = 0
+        self._carried: deque[bytes] = deque(maxlen=MAX_CARRIED)
         self._lost = False
         self._closing = False
         self.idle_since = 0.0
@@ -64,6 +76,14 @@
         """Return whether the connection is open and free for the next request."""
         return not self._lost and not self._closing and self._exchange_done is None
 
+    def has_carried(self, request_id: bytes) -> bool:
+        """Return whether a request with this ID was sent here, whose answer may come again."""
+        return request_id in self._carried
+
+    def record_carried(self, request_id: bytes) -> None:
+        """Record the ID of the request that is sent next."""
+        self._carried.append(request_id)
+
     def connectionMade(self) -> None:  # noqa: N802
         """Set the socket options."""
         tune_socket(self.transport)
@@ -75,6 +95,9 @@
         self._receiver = receiver
         self._answer_begun = False
         self._interim_answers = 0
+        self._method = method
+        self._skipping = False
+        self._stray_answers = self._stray_bytes = 0
         self._exchange_done = Deferred()
         done = self._exchange_done
         request = h11.Request(method=method, target=target, headers=headers)
@@ -90,6 +113,11 @@
         self._end_exchange(ExchangeEnd.CANCELLED)
         self.abort()
 
+    def give_up(self) -> None:
+        """Abort the connection because the answer that arrived was another one."""
+        if self._exchange_done is not None:
+            self._reject_answer()
+
     def abort(self) -> None:
         """Abort the connection; it is never reused."""
         self._closing = True
@@ -137,21 +165,47 @@
                 if self._interim_answers > MAX_INTERIM_ANSWERS:
                     self._reject_answer()
             elif isinstance(event, h11.Data):
-                assert self._receiver is not None
-                if not self._receiver.receive_body_part(bytes(event.data)):
-                    self._reject_answer()
+                self._receive_body_part(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                self._end_answer()
+                if self._skipping:
+                    self._end_stray_answer()
+                else:
+                    self._end_answer()
+
+    def _receive_body_part(self, data: bytes) -> None:
+        assert self._receiver is not None
+        if self._skipping:
+            self._stray_bytes += len(data)
+            if self._stray_bytes > MAX_STRAY_BYTES:
+                self._reject_answer()
+        elif not self._receiver.receive_body_part(data):
+            self._reject_answer()
 
     def _begin_answer(self, event: h11.Response) -> None:
         assert self._receiver is not None
-        self._answer_begun = True
         headers = event.headers.raw_items()
+        if self._stray_answers < MAX_STRAY_ANSWERS and self._receiver.is_stray(headers):
+            self._stray_answers += 1
+            self._skipping = True
+            return
+        self._answer_begun = True
         if not self._receiver.receive_head(event.status_code, headers):
             self._reject_answer()
             return
         self._record_keep_alive_timeout(event.headers)
 
+    def _end_stray_answer(self) -> None:
+        """Read on, as if the request had been written after the stray answer."""
+        self._skipping = False
+        try:
+            self._http.start_next_cycle()
+            self._http.send(
+                h11.Request(method=self._method, target=b"/", headers=[(b"Host", b"upstream")])
+            )
+            self._http.send(h11.EndOfMessage())
+        except h11.LocalProtocolError:  # the stray answer was the last one of the connection
+            self._reject_answer()
+
     def _reject_answer(self) -> None:
         self._end_exchange(ExchangeEnd.MALFORMED)
         self.abort()
--- a/src/cactusshunt/requests/answer_sink.py
+++ b/src/cactusshunt/requests/answer_sink.py
@@ -27,7 +27,8 @@
     ended inside an event, or that an answer that should go on with it brought no event;
     ``rejected`` means that ``receive_head`` rejected the latest answer; ``on_head`` is called when
     it accepted one with the request's id, ``on_begin`` before the first part is forwarded.
-    ``extra_headers`` are added to the answer.
+    ``extra_headers`` are added to the answer. With ``waits_past_strays`` an answer to an earlier
+    request is passed over, and ``on_stray`` called.
     """
 
     def __init__(
@@ -59,6 +60,8 @@
         self.on_first_byte: Callable[[], None] | None = None
         self.on_head: Callable[[], None] = lambda: None
         self.on_begin: Callable[[], None] = lambda: None
+        self.waits_past_strays = False
+        self.on_stray: Callable[[], None] = lambda: None
         self.extra_headers: Headers = []
         self._hold = 0  # number of the latest hold
         self._holds = False
@@ -81,6 +84,18 @@
         brought_nothing = self._resumes and self.events.count == self._events_before
         return bool(self.events.incomplete) or brought_nothing
 
+    def is_stray(self, headers: Headers) -> bool:
+        """Return whether to wait for another answer, since this one belongs to an earlier request.
+
+        Only requests that may run once wait; others are better sent again.
+        """
+        if not self.waits_past_strays or not self._request_id:
+            return False
+        if names.find_header(headers, names.REQUEST_ID) == self._request_id:
+            return False
+        self.on_stray()
+        return True
+
     def receive_head(self, status: int, headers: Headers) -> bool:
         """Record status and headers; ``False`` if the answer is rejected.
 
--- a/src/cactusshunt/requests/exchange.py
+++ b/src/cactusshunt/requests/exchange.py
@@ -13,6 +13,9 @@
 
 # Upstreams stop work at their deadline; what still arrives after this time is no answer.
 LATE_ANSWER_S = 2.0
+# How long an answer is awaited after that of an earlier request came, as a multiple of the latency
+# objective.
+STRAY_WAIT_FACTOR = 4.0
 METHODS_USUALLY_WITHOUT_BODY = (b"GET", b"HEAD", b"DELETE")  # if empty, sent without Content-Length
 
 
@@ -40,6 +43,10 @@
     if job.cancellable:
         job.connection.on_disconnect = connection.cancel
     job.running = True
+    stray_timers: list[Any] = []
+    wait_s = job.route.target_latency_ms * STRAY_WAIT_FACTOR / 1000.0
+    job.sink.waits_past_strays = not job.repeatable
+    job.sink.on_stray = lambda: stray_timers.append(reactor.callLater(wait_s, connection.give_up))
     exchange_end = connection.exchange(
         job.request.method, job.request.target, headers, job.request.body, job.sink
     )
@@ -47,8 +54,9 @@
     left_s = max(0.0, job.deadline + LATE_ANSWER_S - reactor.seconds())
     last_end = reactor.callLater(left_s, connection.cancel)
     end = await exchange_end
-    if last_end.active():
-        last_end.cancel()
+    for timer in (last_end, *stray_timers):
+        if timer.active():
+            timer.cancel()
     job.running = False
     job.on_timeout = None
     if not job.done:
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -185,7 +185,7 @@
         assert picked.upstream is not None
         upstream = picked.upstream
         try:
-            connection = await self._pool.acquire(upstream.address)
+            connection = await self._acquire(job, upstream)
         except UpstreamNotReachedError:
             self._limits.return_permit(picked.permit)
             self._reach.record_failure(job.service)
@@ -209,6 +209,14 @@
             return Outcome.NOT_REACHED
         return await self._exchange(job, picked, upstream, connection)
 
+    async def _acquire(self, job: Job, upstream: Upstream) -> UpstreamConnection:
+        """Return a connection on which no earlier request had the same ID."""
+        connection = await self._pool.acquire(upstream.address)
+        if connection.has_carried(job.request_id):
+            self._pool.release(upstream.address, connection)
+            connection = await self._pool.open(upstream.address)
+        return connection
+
     def _may_write(self, job: Job, picked: PickResult, upstream: Upstream) -> bool:
         """Ask right before the bytes leave; much may have changed while the connection opened."""
         return (
@@ -240,6 +248,7 @@
         self._reach.record_send(job.service)
         if job.generation is not None:
             upstream.cache.add(job.item, job.generation.prompt_parts)
+        connection.record_carried(job.request_id)
         end = await exchange(self._reactor, job, connection, self._headers(job, upstream, now))
         upstream.end(attempt)
         self._pool.release(upstream.address, connection)
--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -287,7 +287,7 @@
             return encode_answer(request, {}, 421)
         fault = self._take_fault(request)
         if fault == "refuse":
-            self._echo.record_refusal(request_id)
+            self._echo.record_refusal(request)
             request.setHeader("X-Not-Executed", "1")
             return encode_answer(request, {}, 503)
         self._runs.append(request_id)
--- a/stand_ins/spoilt_answers.py
+++ b/stand_ins/spoilt_answers.py
@@ -45,21 +45,27 @@
     def __init__(self) -> None:
         self._how: dict[str, Any] = {}
         self._refused_id = ""
+        self._refused_on: Any = None
 
     def configure(self, body: dict[str, Any]) -> None:
-        """Apply a test call: ``how`` and ``anonymous``, or nothing to end it."""
+        """Apply a test call: ``how`` and ``anonymous``, or nothing to end it.
+
+        With ``kept`` the refusal is written on the connection of the refused request only.
+        """
         self._how = body
 
-    def record_refusal(self, request_id: str) -> None:
-        """Keep the ID of a request that was refused."""
-        self._refused_id = request_id
+    def record_refusal(self, request: Request) -> None:
+        """Keep the ID and the connection of a request that was refused."""
+        self._refused_id = request.getHeader("X-Request-Id") or ""
+        self._refused_on = request.channel
 
     def spoil(self, request: Request) -> bool:
         """Write the echo that is due; return whether it takes the place of the answer."""
         how = self._how.get("how")
-        if how is None or not self._refused_id:
-            return False
         channel: Any = request.channel
+        elsewhere = self._how.get("kept") and channel is not self._refused_on
+        if how is None or not self._refused_id or elsewhere:
+            return False
         if how == "after":
             reactor.callLater(ECHO_DELAY_S, channel.transport.write, self._encode())
             return False
--- a/tests/steps/connection_steps.py
+++ b/tests/steps/connection_steps.py
@@ -150,6 +150,9 @@
     def __init__(self) -> None:
         self.body = b""
 
+    def is_stray(self, headers: Any) -> bool:
+        return False
+
     def receive_head(self, status: int, headers: Any) -> bool:
         return True
 
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -239,7 +239,10 @@
     while not opening:
         fleet.clock.advance(0.1)
     fleet.clock.advance(2.0)
-    opening[0].callback(SimpleNamespace(exchange=write, cancel=lambda: None))
+    connection = SimpleNamespace(
+        exchange=write, cancel=lambda: None, has_carried=lambda request_id: False
+    )
+    opening[0].callback(connection)
 
 
 @then("nothing is written to the connection")
