Bear any bytes in entries, reports, records, datagrams and headers, and drop an engine whose entry turns odd

What operators saw elsewhere: machines that read a list with one odd entry ended, or stopped following it. Here no VM ended, but deep nesting and numbers of thousands of digits raised past the readers, port 99999, slots of 400 digits or -5 were taken for an engine, addresses that are none gave tracebacks, and an engine whose entry turned odd could still be used. Cause: readers caught what malformed JSON raises and not what else decoding can; bounds were nowhere. Change: one set of errors that every reader in node, entry and control catches; bounds on depth, size, numbers, ports, hosts and names once, in the adapter. An entry that turns odd removes its engine at once, also as the last one.

--- a/src/cactusshunt/clients/engine.py
+++ b/src/cactusshunt/clients/engine.py
@@ -22,6 +22,7 @@
 from cactusshunt.exceptions import OrderRefusedError
 from cactusshunt.exceptions import UpstreamError
 from cactusshunt.exceptions import UpstreamSilentError
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
 from cactusshunt.schema.generated.messages import EngineReport
 
 if TYPE_CHECKING:
@@ -62,7 +63,7 @@
             return Error(_report_error(address))
         try:
             return Ok(msgspec.json.decode(result.ok.body, type=EngineReport))
-        except msgspec.MsgspecError:
+        except UNREADABLE_ERRORS:
             return Error(_report_error(address))
 
     async def send_order(
--- a/src/cactusshunt/clients/store.py
+++ b/src/cactusshunt/clients/store.py
@@ -24,6 +24,7 @@
 from cactusshunt.exceptions import StoreError
 from cactusshunt.exceptions import StoreOutcomeUnknownError
 from cactusshunt.exceptions import StoreUnavailableError
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -297,7 +298,7 @@
         return Error(_outcome_unknown(f"status {status}"))
     try:
         return Ok(msgspec.json.decode(body, type=dict[str, Any]))
-    except msgspec.DecodeError:
+    except UNREADABLE_ERRORS:
         return Error(_outcome_unknown("answer is not JSON"))
 
 
--- a/src/cactusshunt/clients/store_watch.py
+++ b/src/cactusshunt/clients/store_watch.py
@@ -12,6 +12,7 @@
 
 from cactusshunt.clients.body import BytesProducer
 from cactusshunt.clients.tuned_endpoint import make_agent
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -108,7 +109,7 @@
     def _receive_line(self, line: bytes) -> None:
         try:
             message = msgspec.json.decode(line, type=dict[str, Any])
-        except msgspec.DecodeError:
+        except UNREADABLE_ERRORS:
             self.close()
             return
         self._receive(message)
--- a/src/cactusshunt/clients/vm_list.py
+++ b/src/cactusshunt/clients/vm_list.py
@@ -12,6 +12,7 @@
 from expression import Result
 
 from cactusshunt.exceptions import CactusshuntError
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
 from cactusshunt.schema.generated.messages import Vm
 
 if TYPE_CHECKING:
@@ -43,7 +44,7 @@
             return Error(_read_error())
         try:
             return Ok(msgspec.json.decode(result.ok.body, type=list[Vm]))
-        except msgspec.MsgspecError:
+        except UNREADABLE_ERRORS:
             return Error(_read_error())
 
 
--- a/src/cactusshunt/console/log_lines.py
+++ b/src/cactusshunt/console/log_lines.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
     from collections.abc import Sequence
@@ -38,7 +40,7 @@
         return None
     try:
         found = msgspec.json.decode(row[start:].encode(errors="replace"))
-    except msgspec.DecodeError:
+    except UNREADABLE_ERRORS:
         return None
     if not isinstance(found, dict) or not isinstance(found.get("event"), str):
         return None
--- a/src/cactusshunt/membership/membership_task.py
+++ b/src/cactusshunt/membership/membership_task.py
@@ -28,6 +28,7 @@
 from cactusshunt.platform.documents import SYSTEM_PREFIX
 from cactusshunt.platform.store import ABSENT
 from cactusshunt.platform.store import StoredItem
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
 from cactusshunt.tasks.periodic import pause
 
 if TYPE_CHECKING:
@@ -369,7 +370,7 @@
             return
         try:
             record = msgspec.json.decode(item.value, type=PeerRecord)
-        except msgspec.DecodeError:
+        except UNREADABLE_ERRORS:
             log_event("record_unreadable", key=item.key)
             return
         if vm != self._vm and vm not in self._link.peers:
--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
+
 
 class EngineWork(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One VM's unfinished work at one upstream.
@@ -272,5 +274,5 @@
     """Return the message, or ``None`` if the bytes are no valid message."""
     try:
         return _decoder.decode(data)
-    except msgspec.DecodeError:
+    except UNREADABLE_ERRORS:
         return None
--- a/src/cactusshunt/membership/peer_link.py
+++ b/src/cactusshunt/membership/peer_link.py
@@ -127,7 +127,7 @@
                 continue
             try:
                 transport.write(data, (peer.record.address, peer.record.port))
-            except OSError:
+            except (OSError, ValueError, OverflowError):  # also for an address that is none
                 continue
             self.bytes_sent[MESSAGE_NAMES[type(message)]] += len(data)
 
--- a/src/cactusshunt/platform/documents.py
+++ b/src/cactusshunt/platform/documents.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
-from typing import Any
+import re
+
+from ipaddress import IPv4Address
+from typing import Annotated
 
 import msgspec
 
 from cactusshunt.exceptions import SettingsError
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
 
 CONFIGURATION_KEY = "op/config"
 OPERATOR_PREFIX = "op/"
@@ -126,19 +130,27 @@
     limits: CallerLimits = CallerLimits()
 
 
+# Bounds of what upstreams and other writers may say, far above what is usual. Beyond them a value
+# could not be sent on to other VMs, or compared as a float.
+Text = Annotated[str, msgspec.Meta(max_length=200)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+MAX_LISTED = 4_096
+_UPSTREAM_NAME = re.compile(r"[!-~]{1,200}")  # it becomes a header's value
+
+
 class LoadedModel(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """A model in an engine's memory and its loaded adapters; ``version`` is ignored."""
 
-    name: str
+    name: Text
     version: int = 0
-    adapters: list[str] = []
+    adapters: Annotated[list[Text], msgspec.Meta(max_length=MAX_LISTED)] = []
 
 
 class CachedWeights(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """Models whose weights an engine caches in main memory or on disk."""
 
-    in_memory: list[str] = []
-    on_disk: list[str] = []
+    in_memory: Annotated[list[Text], msgspec.Meta(max_length=MAX_LISTED)] = []
+    on_disk: Annotated[list[Text], msgspec.Meta(max_length=MAX_LISTED)] = []
 
 
 class UpstreamEntry(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
@@ -149,16 +161,16 @@
     accepted orders.
     """
 
-    service: str
-    address: str
-    zone: str = ""
-    slots: int = 1
-    state: str
-    born: int = 0
-    version: Any = None
-    models: list[LoadedModel] = []
+    service: Text
+    address: Text
+    zone: Text = ""
+    slots: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 1
+    state: Text
+    born: Count = 0
+    version: Text | int | float | None = None
+    models: Annotated[list[LoadedModel], msgspec.Meta(max_length=MAX_LISTED)] = []
     at_hand: CachedWeights = CachedWeights()
-    sequence: int = 0
+    sequence: Count = 0
 
 
 class EngineReport(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
@@ -167,10 +179,10 @@
     ``coming`` names what is being loaded; it is ignored.
     """
 
-    models: list[LoadedModel] = []
+    models: Annotated[list[LoadedModel], msgspec.Meta(max_length=MAX_LISTED)] = []
     busy: bool = False
-    sequence: int = 0
-    born: int = 0
+    sequence: Count = 0
+    born: Count = 0
     at_hand: CachedWeights = CachedWeights()
     coming: list[str] = []
 
@@ -179,7 +191,7 @@
     """Decode the operators' configuration; raises ``SettingsError``."""
     try:
         return msgspec.json.decode(value, type=Configuration, strict=False)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         raise SettingsError(
             reason=f"{error}.",
             remedy="Correct it; the version in force stays.",
@@ -192,17 +204,31 @@
     """Decode an upstream's entry; returns ``None`` if it is malformed."""
     try:
         entry = msgspec.json.decode(value, type=UpstreamEntry)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except UNREADABLE_ERRORS:
         return None
-    host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdigit() or entry.state not in (READY, "draining"):
-        return None
-    return entry
+    names_engine = _is_address(entry.address) and entry.state in (READY, "draining")
+    return entry if names_engine else None
+
+
+def is_upstream_name(name: str) -> bool:
+    """Return whether a name under ``UPSTREAMS_PREFIX`` can be that of an upstream."""
+    return _UPSTREAM_NAME.fullmatch(name) is not None
+
+
+def _is_address(address: str) -> bool:
+    """Return whether a text is the ``IP:PORT`` of a host, with an IPv4 address."""
+    host, _, port = address.rpartition(":")
+    try:
+        ip = IPv4Address(host)
+    except ValueError:
+        return False
+    is_port = port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65_536
+    return is_port and not (ip.is_unspecified or ip.is_multicast)
 
 
 def decode_report(value: bytes) -> EngineReport | None:
     """Decode an engine's report; returns ``None`` if it is malformed."""
     try:
         return msgspec.json.decode(value, type=EngineReport, strict=False)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except UNREADABLE_ERRORS:
         return None
--- a/src/cactusshunt/platform/headers.py
+++ b/src/cactusshunt/platform/headers.py
@@ -110,6 +110,11 @@
     return None
 
 
+def is_count(value: bytes) -> bool:
+    """Return whether a header's value is a whole number that is not absurdly large."""
+    return value.isdigit() and len(value) <= MAX_NUMBER_LENGTH
+
+
 def read_content_type(headers: Headers) -> bytes:
     """Return the media type of an answer in lower case, without parameters; empty without one."""
     return (find_header(headers, CONTENT_TYPE) or b"").partition(b";")[0].strip().lower()
@@ -133,7 +138,7 @@
     """Return which VM passed a request on, ``None`` if none did."""
     value = find_header(headers, DETOUR)
     vm, _, version = (value or b"").rpartition(b";")
-    if not vm or not version.isdigit():
+    if not vm or not version.isdigit() or len(version) > MAX_NUMBER_LENGTH:
         return None
     return DetourOrigin(vm=vm.decode("latin-1"), configuration_version=int(version))
 
--- a/src/cactusshunt/platform/model_headers.py
+++ b/src/cactusshunt/platform/model_headers.py
@@ -53,7 +53,7 @@
 def read_deadline_ms(headers: Headers) -> int | None:
     """Return how many ms the caller waits, or ``None`` without a valid deadline header."""
     value = names.find_header(headers, names.DEADLINE)
-    if value is None or not value.strip().isdigit():
+    if value is None or not names.is_count(value.strip()):
         return None
     return int(value)
 
@@ -64,4 +64,4 @@
 
 
 def _parse_count(text: str) -> int:
-    return int(text) if text.isdigit() else 0
+    return int(text) if text.isascii() and names.is_count(text.encode()) else 0
--- a/src/cactusshunt/platform/store.py
+++ b/src/cactusshunt/platform/store.py
@@ -26,6 +26,7 @@
 from cactusshunt.exceptions import UpstreamNotReachedError
 from cactusshunt.http1.collected_answer import call
 from cactusshunt.node_log import log_event
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -41,6 +42,7 @@
 Document = TypeVar("Document")
 ABSENT = 0  # expected revision of a key that must not exist
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
+MAX_ERA_DIGITS = 12
 ERA_HEADER = b"store-era"
 
 
@@ -279,7 +281,7 @@
             )
         try:
             return msgspec.json.decode(answer.body, type=kind)
-        except msgspec.DecodeError as error:
+        except UNREADABLE_ERRORS as error:
             raise StoreOutcomeUnknownError(
                 reason=f"{error}.", remedy="Read the keys again; a write may have taken effect."
             ) from error
@@ -289,7 +291,7 @@
     """Return the era that an answer names; ``None`` if it names none that can be read."""
     for name, value in answer.headers:
         if name.lower() == ERA_HEADER:
-            return int(value) if value.isdigit() else None
+            return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else None
     return None
 
 
--- a/src/cactusshunt/quarantine/convicted_keys.py
+++ b/src/cactusshunt/quarantine/convicted_keys.py
@@ -9,6 +9,7 @@
 from cactusshunt.platform.documents import SYSTEM_PREFIX
 from cactusshunt.quarantine.crash_evidence import Conviction
 from cactusshunt.quarantine.subject import Subject
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
 
 CONVICTED_PREFIX = SYSTEM_PREFIX + "convicted/"
 
@@ -57,7 +58,7 @@
     """
     try:
         stored = msgspec.json.decode(value, type=StoredConviction)
-    except msgspec.DecodeError:
+    except UNREADABLE_ERRORS:
         return None
     age_s = max(0.0, unix_s - stored.written_at)
     return Conviction(
--- a/src/cactusshunt/ready_page.py
+++ b/src/cactusshunt/ready_page.py
@@ -9,6 +9,7 @@
 
 from cactusshunt.internal_page import InternalPage
 from cactusshunt.platform.headers import READY_PATH
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -63,7 +64,7 @@
     def _answer_lift(self, body: bytes) -> tuple[int, Headers, bytes]:
         try:
             found = msgspec.json.decode(body, type=LiftRequest)
-        except msgspec.DecodeError as error:
+        except UNREADABLE_ERRORS as error:
             return 400, JSON_HEADERS, msgspec.json.encode({"error": str(error)})
         lifted = self._lift(found.service, found.part)
         return 200 if lifted else 404, JSON_HEADERS, msgspec.json.encode({"lifted": lifted})
--- a/src/cactusshunt/routing/restored_entries.py
+++ b/src/cactusshunt/routing/restored_entries.py
@@ -65,6 +65,10 @@
         self._deferred[name] = _DeferredChange(item=item, due_at=due_at)
         return True
 
+    def forget(self, name: str) -> None:
+        """Forget a deferred change, which another one has replaced."""
+        self._deferred.pop(name, None)
+
     def take_due(self, now: float) -> list[StoredItem]:
         """Return the changes that no later one has replaced in time, and forget them."""
         due = [name for name, change in self._deferred.items() if change.due_at <= now]
--- a/src/cactusshunt/routing/upstream_directory.py
+++ b/src/cactusshunt/routing/upstream_directory.py
@@ -15,6 +15,7 @@
 from cactusshunt.platform.documents import READY
 from cactusshunt.platform.documents import UPSTREAMS_PREFIX
 from cactusshunt.platform.documents import decode_upstream_entry
+from cactusshunt.platform.documents import is_upstream_name
 from cactusshunt.routing.restored_entries import RestoredEntries
 from cactusshunt.routing.upstream import HeldItems
 from cactusshunt.routing.upstream import Upstream
@@ -131,9 +132,12 @@
     def apply_stored_entry(self, item: StoredItem) -> None:
         """Apply a change of an upstream's entry in the store, or its removal."""
         name = item.key.removeprefix(UPSTREAMS_PREFIX)
-        entry = decode_upstream_entry(item.value) if item.value is not None else None
-        if item.value is not None and entry is None:
-            log_event("entry_unreadable", upstream=name)
+        entry = None
+        if item.value is not None:
+            entry = decode_upstream_entry(item.value) if is_upstream_name(name) else None
+            if entry is None:
+                self._discard(name)
+                return
         if self._restored.defer(name, item, entry, self._clock()):
             log_event("entry_deferred", upstream=name, missing=entry is None)
             return
@@ -258,6 +262,17 @@
             self._restored.record_removal(name, found.entry.born, found.removed_at)
             log_event("upstream_gone", upstream=name)
 
+    def _discard(self, name: str) -> None:
+        """Stop using an upstream whose entry was replaced by one that names none."""
+        log_event("entry_unreadable", upstream=name)
+        self._restored.forget(name)
+        self._remove(name)
+        found = self._upstreams.get(name)
+        if found is not None:
+            # Not even if there are no others: the next ``usable`` deletes it.
+            found.removed_at = self._clock() - self._drain_s
+        self.on_change()
+
     def _expire(self) -> None:
         limit = self._clock() - self._drain_s * REMOVED_ENTRY_DRAIN_FRACTION
         for name in [
--- a/src/cactusshunt/schema/codec.py
+++ b/src/cactusshunt/schema/codec.py
@@ -15,6 +15,7 @@
 from expression import Result
 
 from cactusshunt.exceptions import CactusshuntError
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
 from cactusshunt.schema.generated import messages
 
 T = TypeVar("T")
@@ -73,7 +74,7 @@
         return Error(_invalid_message("of unknown type"))
     try:
         return Ok(msgspec.msgpack.decode(frames[1], type=PEER_MESSAGES[frames[0]]))
-    except msgspec.MsgspecError as error:
+    except UNREADABLE_ERRORS as error:
         return Error(_invalid_message(f"invalid ({error})"))
 
 
@@ -86,7 +87,7 @@
     """Return the record in data read from the store."""
     try:
         return Ok(msgspec.json.decode(data, type=kind))
-    except msgspec.MsgspecError as error:
+    except UNREADABLE_ERRORS as error:
         return Error(_invalid_message(f"invalid ({error})"))
 
 
--- a/src/cactusshunt/streams/stream_records.py
+++ b/src/cactusshunt/streams/stream_records.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cactusshunt.platform.documents import SYSTEM_PREFIX
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -58,7 +59,7 @@
     for item in items:
         try:
             stored = msgspec.json.decode(item.value or b"", type=StoredStreams)
-        except msgspec.DecodeError:
+        except UNREADABLE_ERRORS:
             continue
         for version, attempts in stored.attempts.items():
             for attempt in attempts:
--- a/src/cactusshunt/tasks/administration/api.py
+++ b/src/cactusshunt/tasks/administration/api.py
@@ -29,6 +29,7 @@
 from cactusshunt.exceptions import CompareFailedError
 from cactusshunt.exceptions import StoreError
 from cactusshunt.exceptions import StoreUnavailableError
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
 from cactusshunt.schema.generated.messages import Subtree
 from cactusshunt.tasks.administration import problems
 from cactusshunt.tasks.administration.preview import ENGINE_RECORDS_PREFIX
@@ -357,7 +358,7 @@
 def _decode_body(body: bytes, kind: type[Any]) -> Result[Any, Problem]:
     try:
         return Ok(msgspec.json.decode(body, type=kind))
-    except msgspec.MsgspecError as error:
+    except UNREADABLE_ERRORS as error:
         return Error(
             Problem(
                 status=400,
--- a/src/cactusshunt/tasks/entry/model_requests.py
+++ b/src/cactusshunt/tasks/entry/model_requests.py
@@ -19,6 +19,7 @@
 from cactusshunt.decisions.names import parse_model_name
 from cactusshunt.decisions.names import target_of
 from cactusshunt.decisions.names import version_of_item
+from cactusshunt.schema.decoding import UNREADABLE_ERRORS
 from cactusshunt.schema.generated.settings import UpstreamKind
 from cactusshunt.tasks.entry import problems
 from cactusshunt.tasks.entry.request_plan import RequestPlan
@@ -163,7 +164,7 @@
 def _decode_body(data: bytes) -> Result[dict[str, Any], Problem]:
     try:
         return Ok(msgspec.json.decode(data, type=dict[str, Any]))
-    except msgspec.MsgspecError as error:
+    except UNREADABLE_ERRORS as error:
         return Error(problems.malformed_request(f"The body is not a JSON object: {error}."))
 
 
