Never say that a request did not run after an error in its handling

What callers saw: 503 for a request that had run, when its engine named its load in a number of 5,000 digits. Cause: the number raised in the relay after the answer had arrived; the attempt then had no outcome, and a request without one counted as not sent. Class: an answer says something of its upstream that the VM cannot read. Change: such numbers are ignored, and an error after the first send counts as an attempt that may have run. Result: the scenario got 503 before, and gets the answer now.

--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -106,6 +106,8 @@
                 timer.cancel()
             self._quarantine.release(job)
             if not job.done:
+                if job.last_sent_at is not None:
+                    job.outcomes.append(Outcome.UNKNOWN)  # that of the attempt that failed here
                 self._answer_locally(job, "internal error")
 
     async def _run_attempts(self, job: Job) -> None:
@@ -316,7 +318,7 @@
     def _record_load(self, upstream: Upstream, headers: names.Headers) -> None:
         value = names.find_header(headers, names.SERVER_LOAD)
         parts = value.split(b",") if value else []
-        if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+        if len(parts) == 3 and all(names.is_count(part.strip()) for part in parts):
             upstream.record_load(int(parts[0]), int(parts[1]), self._now())
 
     def _record_outcome(
--- a/stand_ins/engine_notices.py
+++ b/stand_ins/engine_notices.py
@@ -23,15 +23,18 @@
         self._leaving = False
         self._retry_after: str | None = None
         self._not_run = True
+        self._load: str | None = None
 
     def configure(self, body: dict[str, Any]) -> None:
         """Apply a test call: ``leaving``, and ``retry_after``, a header's text or ``null``.
 
-        With ``not_run`` false its refusals do not say that the request did not run.
+        ``load`` is the text of ``X-Server-Load``. With ``not_run`` false its refusals do not say
+        that the request did not run.
         """
         self._leaving = bool(body.get("leaving", self._leaving))
         self._retry_after = body.get("retry_after", self._retry_after)
         self._not_run = bool(body.get("not_run", True))
+        self._load = body.get("load", self._load)
 
     def forget(self) -> None:
         """Say nothing any more, as after a restart."""
@@ -39,6 +42,8 @@
 
     def mark(self, request: Request) -> None:
         """Add what all answers say."""
+        if self._load is not None:
+            request.setHeader("X-Server-Load", self._load)
         if self._leaving:
             request.setHeader("Server-Leaving", "1")
             self._record(request, "leaving")
--- a/tests/configuration/odd_entries.feature
+++ b/tests/configuration/odd_entries.feature
@@ -31,3 +31,8 @@
 
   Scenario: Any bytes as an entry, a report, a configuration, a record or a datagram
     Then no reader raises anything but a typed error, and what it accepts can be sent on
+
+  Scenario: An upstream names its load in numbers of thousands of digits after it has run a request
+    Given the node deployment
+    When the plain service names its load in 5000 digits
+    Then a request that may run once is answered, or its answer does not say that it did not run
