Let upstreams leave and rest in the soak, beside an earlier build, and pass requests on to VMs that are told first

Cause: the soak played none of what upstreams say of themselves, nor odd entries, echoed refusals or failing take-ups, and ran one build only. Among VMs that can pass a request on, those that are told which engines leave come first: a VM of an earlier build ignores the list.

--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -219,6 +219,10 @@
         body = {"how": how, **options}
         call(self.upstream_ports[upstream], "POST", "/test/echo", body)
 
+    def end_echo(self, upstream: str) -> None:
+        """Let a plain instance write refusals once only."""
+        call(self.upstream_ports[upstream], "POST", "/test/echo", {})
+
     def name_limit(self, engine: str, value: str | None, every: int = 1) -> None:
         """Make an upstream name a request limit in every ``every``-th answer; ``None`` ends it."""
         call(self.upstream_ports[engine], "POST", "/test/limit", {"value": value, "every": every})
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,6 +29,8 @@
 from soak.guarantees import Observations
 from soak.guarantees import ObservedVersion
 from soak.guarantees import find_violations
+from soak.notices import SaidNotice
+from soak.notices import read_notices
 from soak.schedule import Fault
 from soak.schedule import draw_brittle
 from soak.schedule import draw_copies
@@ -36,6 +38,7 @@
 from soak.schedule import draw_deadly
 from soak.schedule import draw_faults
 from soak.schedule import draw_limits
+from soak.schedule import draw_notices
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,6 +55,13 @@
     "cut_reset": (LinkMode.REFUSE, True),
     "cut_refuse": (LinkMode.REFUSE, False),
 }
+TAKEN_UP_ANSWERS = ("500", "404", "302", "421", "refuse", "empty", "json", "anew", "unsealed")
+ODD_ENTRIES = (
+    '{"service": "access", "address": "127.0.0.1:99999", "state": "ready"}',
+    '{"service": "access", "address": "[::1]:80", "state": "ready"}',
+    '{"models": ' + "[" * 20_000 + "]" * 20_000 + "}",
+    '{"service": "access", "slots": ' + "9" * 5_000 + "}",
+)
 BRITTLE_PER_S, BRITTLE_ROOM, BRITTLE_WORK_S = 2, 10, 0.1
 DEADLY_REPEAT_S = 0.3
 RESTART_DELAY_S = 0.3  # imitates a platform that restarts ended processes
@@ -71,6 +81,13 @@
         self._copying = threading.Lock()
         self._failed_processes: list[str] = []
         self._finished = False
+        self._notice_injectors = {
+            "leaving": self._let_leave,
+            "rest": self._let_rest,
+            "taken_up": self._fail_taken_up,
+            "echo": self._echo_refusals,
+            "odd_entry": self._write_odd_entry,
+        }
 
     def run(self, seconds: float) -> Observations:
         """Inject the faults, wait for them and the callers to end, and return the observations."""
@@ -99,6 +116,8 @@
             limited=self._read_limited(),
             deadly=self._read_deadly(),
             falls=self._read_falls(),
+            notices=self._read_notices(),
+            nodes=[n for n in self._fleet.caller_ports if n not in self._fleet.earlier_nodes],
             instances=sum(name.startswith("s") for name in self._fleet.upstream_ports),
             faults=self._faults,
             versions=self._versions,
@@ -138,6 +157,8 @@
             self._limit(fault)
         elif kind in CUT_MODES:
             self._cut_off(fault)
+        elif kind in self._notice_injectors:
+            self._notice_injectors[kind](fault)
         elif kind == "brittle":
             self._make_brittle(fault)
         elif kind == "deadly":
@@ -178,6 +199,40 @@
         except OSError:  # the upstream was killed, and starts again without a limit
             return
 
+    def _let_leave(self, fault: Fault) -> None:
+        with suppress(OSError):
+            self._fleet.say(fault.target, leaving=True)
+        time.sleep(fault.duration_s)
+        self._restart_process("upstream_kill", fault.target)
+
+    def _let_rest(self, fault: Fault) -> None:
+        with suppress(OSError):
+            self._fleet.say(fault.target, retry_after=f"{fault.value:g}")
+        time.sleep(fault.duration_s)
+        with suppress(OSError):
+            self._fleet.say(fault.target, retry_after=None)
+
+    def _fail_taken_up(self, fault: Fault) -> None:
+        with suppress(OSError):
+            answer = TAKEN_UP_ANSWERS[int(fault.value) % len(TAKEN_UP_ANSWERS)]
+            self._fleet.fail_taken_up(fault.target, answer)
+            self._fleet.inject_fault(fault.target, "tear-new", 3)
+        time.sleep(fault.duration_s)
+        with suppress(OSError):
+            self._fleet.fail_taken_up(fault.target, None)
+
+    def _echo_refusals(self, fault: Fault) -> None:
+        with suppress(OSError):
+            self._fleet.inject_fault(fault.target, "refuse", 2)
+            self._fleet.echo_refusals(fault.target, "before", anonymous=fault.value % 2 == 0)
+        time.sleep(fault.duration_s)
+        with suppress(OSError):
+            self._fleet.end_echo(fault.target)
+
+    def _write_odd_entry(self, fault: Fault) -> None:
+        with suppress(OSError):
+            self._fleet.put("servers/odd", ODD_ENTRIES[int(fault.value) % len(ODD_ENTRIES)])
+
     def _cut_off(self, fault: Fault) -> None:
         mode, resets = CUT_MODES[fault.kind]
         self._fleet.cut_off(fault.target, mode)
@@ -270,6 +325,13 @@
             if len(fields) == 4 and fields[0] == "limited"
         ]
 
+    def _read_notices(self) -> list[SaidNotice]:
+        return [
+            notice
+            for name in self._fleet.upstream_ports
+            for notice in read_notices(name, self._fleet.read_log(name))
+        ]
+
     def _read_falls(self) -> list[float]:
         return [
             float(line.split()[2])
@@ -298,17 +360,21 @@
     nodes: Annotated[int, typer.Option(min=2, max=40)] = 4,
     callers: Annotated[int, typer.Option(min=1, max=200)] = 12,
     first_port: Annotated[int, typer.Option(min=1024, max=60000)] = 20000,
+    beside: Annotated[
+        str, typer.Option(help="Commit whose build every second node runs, beside the present one.")
+    ] = "",
     logs: Annotated[
         Path | None, typer.Option(help="Folder into which the logs are copied.")
     ] = None,
 ) -> None:
     """Run the programs under faults and check the observations against the guarantees."""
-    fleet = SoakFleet(first_port=first_port, nodes=nodes)
+    fleet = SoakFleet(first_port=first_port, nodes=nodes, beside=beside)
     faults = draw_faults(seed, minutes * 60.0, list(fleet.caller_ports), list(fleet.upstream_ports))
     faults += draw_copies(seed, minutes * 60.0)
     faults += draw_deadly(seed, minutes * 60.0)
     faults += draw_cuts(seed, minutes * 60.0, list(fleet.caller_ports))
     faults.append(draw_brittle(seed, minutes * 60.0))
+    faults += draw_notices(seed, minutes * 60.0, list(fleet.upstream_ports))
     faults += draw_limits(seed, minutes * 60.0, list(fleet.upstream_ports))
     threads = [
         Caller(fleet=fleet, rng=random.Random(f"{seed}/{number}")) for number in range(callers)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -34,7 +34,8 @@
 
     ``status`` is 0 if the connection failed before an answer. ``complete`` is whether the whole
     answer arrived, ``own`` whether it is the answer to this request: it has the request's ID and,
-    if it is a stream, an engine's seal (its signature).
+    if it is a stream, an engine's seal (its signature). ``truncated`` is whether a stream ended as
+    if it were whole, and was not.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     status: int
     complete: bool
     own: bool
+    truncated: bool = False
 
 
 class Caller(threading.Thread):
@@ -71,6 +73,7 @@
         connection = self._connect()
         started_at = time.time()
         status, complete, own = 0, False, True
+        self._truncated = False
         try:
             status, complete, own = self._exchange(connection, kind, request_id)
         except (OSError, http.client.HTTPException):
@@ -85,6 +88,7 @@
             status=status,
             complete=complete,
             own=own,
+            truncated=self._truncated,
         )
 
     def _exchange(
@@ -118,6 +122,7 @@
             return 200, True, own and request_id.encode() in data
         numbers = re.findall(rb"id: (\d+)\n", data)
         complete = numbers == [str(number).encode() for number in range(1, 9)]
+        self._truncated = not complete
         return 200, complete, own and answer.getheader("X-Response-Seal", "").startswith("seal-")
 
     def _draw_part(self) -> str:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,32 +2,53 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import subprocess
+import tempfile
 
+from pathlib import Path
+from typing import Any
+
+from local.platform_deployment import ROOT
 from local.platform_deployment import PlatformDeployment
 from soak.faulty_link import FaultyLinks
 from soak.faulty_link import LinkMode
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
 ENGINE_COUNT = 3
 SERVICE_COUNT = 2
 LINKS_OFFSET, LINKS_PER_NODE = 600, 20  # of the ports of nodes' links to upstreams
 
 
+def extract_build(commit: str, folder: Path) -> None:
+    """Extract the programs of a commit from the repository's history."""
+    archive = subprocess.run(
+        ["git", "archive", commit, "src", "deploy"], cwd=ROOT, capture_output=True, check=True
+    )
+    subprocess.run(["tar", "-x", "-C", str(folder)], input=archive.stdout, check=True)
+
+
 class SoakFleet(PlatformDeployment):
     """Platform deployment whose nodes reach the store and the upstreams over faulty links.
 
     Each node has links of its own.
     """
 
-    def __init__(self, *, first_port: int, nodes: int) -> None:
+    def __init__(self, *, first_port: int, nodes: int, beside: str = "") -> None:
         super().__init__(first_port=first_port)
+        self._earlier_build = tempfile.TemporaryDirectory(prefix="cactusshunt-build-")
         self.links = FaultyLinks()
         self.upstream_ports = {f"e{n + 1}": first_port + 10 + n for n in range(ENGINE_COUNT)}
         self.upstream_ports |= {f"s{n + 1}": first_port + 20 + n for n in range(SERVICE_COUNT)}
         self.caller_ports = {f"n{n + 1}": first_port + 100 + 10 * n for n in range(nodes)}
+        self.earlier_nodes: list[str] = []
+        if beside:
+            extract_build(beside, Path(self._earlier_build.name))
+            self.earlier_nodes = list(self.caller_ports)[1::2]
+
+    def start_node(self, name: str, *arguments: Any, **options: Any) -> None:
+        """Start a node, of the earlier build if it is one of those."""
+        if name in self.earlier_nodes:
+            options["program"] = (str(Path(self._earlier_build.name) / "deploy" / "node.py"),)
+        super().start_node(name, *arguments, **options)
 
     def start(self) -> None:
         """Open the links, start all programs and wait until every node is ready."""
@@ -41,6 +62,7 @@
         """Kill all processes and close the links."""
         super().stop(keep_logs)
         self.links.close()
+        self._earlier_build.cleanup()
 
     def store_views(self) -> list[str]:
         """Return a port of the store for each node, where upstreams have the ports of its links."""
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -7,11 +7,13 @@
 from typing import TYPE_CHECKING
 
 from soak.callers import AT_MOST_ONCE_KINDS
+from soak.notices import find_disregarded
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from soak.callers import RequestResult
+    from soak.notices import SaidNotice
     from soak.schedule import Fault
 
 NOT_RUN = (408, 421, 429, 503)
@@ -88,6 +90,8 @@
     deadly: Sequence[DeadlyEvent] = ()
     falls: Sequence[float] = ()
     instances: int = 0
+    notices: Sequence[SaidNotice] = ()
+    nodes: Sequence[str] = ()
 
 
 def find_violations(observations: Observations) -> list[str]:
@@ -102,6 +106,14 @@
         *_check_deadly(observations),
         *_check_cuts(observations),
         *_check_falls(observations),
+        *find_disregarded(
+            observations.notices, observations.results, observations.faults, observations.nodes
+        ),
+        *(
+            f"a stream, {found.request_id}, ended as whole before its last event"
+            for found in observations.results
+            if found.truncated
+        ),
         *(f"memory of {name} was overcommitted" for name in observations.overcommitted),
         *(f"process {name} ended with an error" for name in observations.failed_processes),
     ]
@@ -292,7 +304,7 @@
     observations: Observations, begins: float, ends: float, ignored: Sequence[Fault] = ()
 ) -> bool:
     """Return whether a fault other than planned work and ``ignored`` may affect the time span."""
-    planned = ("configuration", "drain", "deadly", "deadly_path", "brittle")
+    planned = ("configuration", "drain", "deadly", "deadly_path", "brittle", "odd_entry")
     return any(
         fault.at < ends and fault.ends_at + SETTLE_S > begins
         for fault in observations.faults
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -33,6 +33,10 @@
 CUT_GAP_S = 15.0
 CUT_DURATION_S = (4.0, 9.0)
 AWAY_S = (0.05, 0.3, 1.5)
+NOTICE_KINDS = ("leaving", "rest", "rest", "taken_up", "odd_entry", "echo")
+NOTICE_GAP_S = 4.0
+NOTICE_DURATION_S = (2.5, 7.0)
+RESTS_S = (0.4, 1.0, 2.5, 4.0)
 LIMITS_PER_S = (1.0, 3.0, 8.0)  # callers send tens of requests a second to each upstream
 LIMIT_GAP_S = 4.0
 MIN_LIMIT_DURATION_S, MAX_LIMIT_DURATION_S = 5.0, 15.0
@@ -100,6 +104,30 @@
     return limits
 
 
+def draw_notices(seed: int, seconds: float, upstreams: list[str]) -> list[Fault]:
+    """Return when upstreams say that they leave or rest, and when answers and entries turn odd.
+
+    ``value`` is the Retry-After of a pause, else selects one of the ways in which it can be odd.
+    """
+    rng = random.Random(f"{seed}/notices")
+    notices = []
+    at = rng.uniform(0.0, NOTICE_GAP_S)
+    while at < seconds:
+        kind = rng.choice(NOTICE_KINDS)
+        prefix = {"echo": "s", "taken_up": "e"}.get(kind, "")
+        notices.append(
+            Fault(
+                at=at,
+                kind=kind,
+                target=rng.choice([name for name in upstreams if name.startswith(prefix)]),
+                duration_s=rng.uniform(*NOTICE_DURATION_S),
+                value=rng.choice(RESTS_S) if kind == "rest" else rng.randrange(100),
+            )
+        )
+        at += rng.uniform(0.2, NOTICE_GAP_S)
+    return notices
+
+
 def draw_copies(seed: int, seconds: float) -> list[Fault]:
     """Return the copies from which the store comes back in a run, some twice in a row."""
     rng = random.Random(f"{seed}/copies")
--- a/src/cactusshunt/detour/detour.py
+++ b/src/cactusshunt/detour/detour.py
@@ -148,10 +148,15 @@
             job.first_byte_at = job.attempt_first_byte_at
 
     def _choose(self, job: Job) -> Peer:
-        """Return the VM in the own zone with the fewest of this VM's requests, else another."""
+        """Return the VM in the own zone with the fewest of this VM's requests, else another.
+
+        While upstreams leave, VMs that are told which ones come first.
+        """
+        tells = bool(self._list_leaving(job.service))
         return min(
             self._list_helpers(job),
             key=lambda peer: (
+                tells and peer.record.message_version < NOTICES_MESSAGE_VERSION,
                 peer.record.availability_zone != self._zone,
                 self._running[peer.vm],
                 self._random.random(),
--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -253,12 +253,18 @@
 
 
 def _move_address(item: dict[str, Any], offset: int) -> dict[str, Any]:
-    """Return an upstream's item with the port in its address moved; other items stay."""
+    """Return an upstream's item with the port in its address moved; other items stay.
+
+    So do the odd ones that another writer has left among them.
+    """
     if not item["key"].startswith("servers/") or "value" not in item:
         return item
-    entry = json.loads(base64.b64decode(item["value"]))
-    host, _, port = entry["address"].rpartition(":")
-    entry["address"] = f"{host}:{int(port) + offset}"
+    try:
+        entry = json.loads(base64.b64decode(item["value"]))
+        host, _, port = entry["address"].rpartition(":")
+        entry["address"] = f"{host}:{int(port) + offset}"
+    except (ValueError, LookupError, TypeError, RecursionError):
+        return item
     return {**item, "value": base64.b64encode(json.dumps(entry).encode()).decode()}
 
 
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -27,6 +27,9 @@
       | a node that was cut off served nothing        |
       | brittle instances fell over 3 times           |
       | a node ended with an error                    |
+      | a leaving engine got a request 15 s after it said so |
+      | an engine got 3 requests in a pause           |
+      | a stream ended as whole before its last event |
 
   Scenario: The same seed draws the same faults
     Given the faults that seed 5 draws for 2 minutes
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -21,6 +21,7 @@
 from soak.guarantees import Observations
 from soak.guarantees import ObservedVersion
 from soak.guarantees import find_violations
+from soak.notices import SaidNotice
 from soak.schedule import Fault
 from soak.schedule import draw_faults
 
@@ -58,6 +59,10 @@
     return ObservedVersion(node="n1", pid=pid, at=START + number, version=version)
 
 
+def said(number: int, text: str = "") -> SaidNotice:
+    return SaidNotice(upstream="e1", request_id=f"r{number}", at=START + number, text=text)
+
+
 @given("the observations of a minute without faults")
 def step_calm_minute(context: Any) -> None:
     results = [result(number) for number in range(60)]
@@ -132,6 +137,18 @@
             "instances": 2,
         },
         "a node ended with an error": {"failed_processes": ["n1 (1)"]},
+        "a leaving engine got a request 15 s after it said so": {
+            "faults": [Fault(at=START, kind="leaving", target="e1", duration_s=30.0)],
+            "notices": [said(5, "leaving"), said(20, "leaving")],
+            "nodes": ["n1"],
+        },
+        "an engine got 3 requests in a pause": {
+            "notices": [said(5, "10"), said(7), said(8), said(9)],
+            "nodes": ["n1"],
+        },
+        "a stream ended as whole before its last event": {
+            "results": [result(1, kind="stream", complete=False, truncated=True)]
+        },
     }
     for row in context.table:
         changed: Any = cases.pop(row["what"])
