--- a/src/cactusshunt/node_state.py
+++ b/src/cactusshunt/node_state.py
@@ -106,6 +106,8 @@
                     "tokens_per_ms": round(upstream.rate, 2),
                     "failure_share": round(upstream.failure_history.share, 2),
                     "resting": upstream.failure_history.resting(now),
+                    "leaving": upstream.leaving,
+                    "paused_s": round(max(0.0, upstream.paused_until - now), 3),
                     "models": sorted(upstream.held.models),
                     # number of the order holder's last update on this upstream
                     "holder_word": upstream.held.order[1],
@@ -140,6 +142,8 @@
         upstreams = self._directory.all()
         states = Counter(upstream.entry.state for upstream in upstreams)
         states["resting"] = sum(upstream.failure_history.resting(now) for upstream in upstreams)
+        states["leaving"] = sum(upstream.leaving for upstream in upstreams)
+        states["paused"] = sum(upstream.paused_until > now for upstream in upstreams)
         single = {
             "ready": (
                 "Whether the balancer should send new callers here.",
