--- a/tests/steps/notice_steps.py
+++ b/tests/steps/notice_steps.py
@@ -112,11 +112,22 @@
     context.runs_before = len(context.deployment.state_of(engine)["runs"])
 
 
+def make_headers() -> dict[str, str]:
+    """Return the headers of a stream whose prompt no engine has cached."""
+    request_id = uuid.uuid4().hex
+    return {
+        "Host": "h",
+        "X-Request-Id": request_id,
+        "X-Model": MODEL,
+        "X-Token-Count": "100,8",
+        "X-Prompt-Prefix": f"{request_id}:100",
+    }
+
+
 def send_until_told(context: Any, node: str, engine: str) -> None:
     for _ in range(MAX_REQUESTS):
-        headers = {"Host": "h", "X-Request-Id": uuid.uuid4().hex, "X-Model": MODEL}
-        headers |= {"X-Token-Count": "100,8", "X-Prompt-Prefix": "aa:60"}
-        fields = call(context.deployment.caller_ports[node], "POST", "/s/x", {}, headers)[1]
+        port = context.deployment.caller_ports[node]
+        fields = call(port, "POST", "/s/x", {}, make_headers())[1]
         if "server-leaving" in fields:
             return
     raise AssertionError(f"no answer through {node} says that {engine} leaves")
@@ -126,10 +137,8 @@
 def check_peers_told(context: Any, engine: str) -> None:
     for node in context.deployment.caller_ports:
         for _ in range(10):
-            headers = {"Host": "h", "X-Request-Id": uuid.uuid4().hex, "X-Model": MODEL}
-            headers |= {"X-Token-Count": "100,8", "X-Prompt-Prefix": "aa:60"}
             port = context.deployment.caller_ports[node]
-            assert call(port, "POST", "/s/x", {}, headers)[0] == 200
+            assert call(port, "POST", "/s/x", {}, make_headers())[0] == 200
     assert len(context.deployment.state_of(engine)["runs"]) == context.runs_before
 
 
