Play engines that are born again before their entries say so, which fails

What an engine says is kept by name and the start that its entry shows. The entry may lag behind the process (a cut from the store alone, a copy of the store, an outage), so that the answer of a new start is filed under the old one.

--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -28,6 +28,8 @@
 ``POST /test/notices`` sets what the engine says of itself, see ``stand_ins.engine_notices``; a
 birth ends it. ``GET /test/runs`` lists under ``said`` ID, time and text of each answer that does.
 
+``POST /test/clock`` says by how many ms the engine's time of day at its start was ahead.
+
 ``POST /test/taken-up`` sets how streams that are taken up are answered from then on: a failure's
 status or ``refuse`` with an error's text, ``empty`` without events, ``json`` with another content
 type, ``anew`` from the first event, ``unsealed`` without a seal; ``null`` ends it.
@@ -206,6 +208,9 @@
         if path == "/test/notices":
             self._notices.configure(read_json(request))
             return {}
+        if path == "/test/clock":
+            self._born += int(read_json(request)["ahead_ms"])
+            return {}
         if path == "/test/taken-up":
             self._taken_up = read_json(request)["answer"]
             return {}
@@ -240,6 +245,7 @@
         if path == "/v1/order":
             return self._handle_order(request)
         if path == "/healthz":
+            request.setHeader("X-Instance-Id", self._name)
             return encode_answer(request, {}, 503) if self._notices.refuses(request) else {}
         return self._run(request)
 
