Log which start of an upstream an attempt was sent to

Of two explanations of a late request, that no VM knew and that what was known was filed under another start, the log could tell neither: attempt named the upstream only, leaving_named and pause_named its start as well. attempt has the field born now, the start that the entry showed at the send. mypy, tests/requests and tests/console pass.

--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -261,7 +261,7 @@
             attempt_end = AttemptEnd.OTHER
         self._quarantine.end(job, upstream, born=run.born, end=attempt_end)
         self._record_outcome(job, upstream, outcome, now, picked, wants_pause=wants_pause)
-        log_attempt(job, upstream, outcome, picked, now, self._now(), notice)
+        log_attempt(job, upstream, outcome, picked, now, self._now(), born=run.born, notice=notice)
         return outcome
 
     def _headers(self, job: Job, upstream: Upstream, now: float) -> names.Headers:
--- a/src/cactusshunt/requests/request_log.py
+++ b/src/cactusshunt/requests/request_log.py
@@ -28,14 +28,16 @@
     picked: PickResult,
     sent_at: float,
     now: float,
-    notice: str | None = None,
+    *,
+    born: int,
+    notice: str | None,
 ) -> None:
     """Log one attempt: the latency that the choice expected, and the outcome.
 
     ``expected_ms`` is 0 for a service without models. ``pending`` are the tokens queued before the
     request, ``own`` its uncached tokens, ``rate`` is in tokens per ms. ``waited_ms`` is the time
-    from the request's arrival to this send, including earlier attempts. ``notice`` is what the
-    upstream had said of itself before it.
+    from the request's arrival to this send, including earlier attempts. ``born`` is the start
+    of the upstream as its entry gave it at the send, ``notice`` what that start had said before.
     """
     log_event(
         "attempt",
@@ -58,6 +60,7 @@
         priority=job.route.priority,
         waited_ms=_ms_since(job.request.arrived_at, sent_at),
         notice=notice,
+        born=born,
     )
     log_limits(job, upstream.name, picked)
 
--- a/tests/steps/request_log_steps.py
+++ b/tests/steps/request_log_steps.py
@@ -44,7 +44,7 @@
     upstream: Any = SimpleNamespace(name="e", entry=SimpleNamespace(zone="z"), rate=20.0)
     picked = PickResult(expected_ms=1.0, uncached_tokens=2.0)
     try:
-        log_attempt(context.job, upstream, Outcome.UNKNOWN, picked, 1.0, 2.0)
+        log_attempt(context.job, upstream, Outcome.UNKNOWN, picked, 1.0, 2.0, born=1, notice=None)
     finally:
         event_log.observers.remove(observe)
     assert seen[0]["send"] == 1
