Let what an engine says count for every start of its name until one is shown to stay

Cause: a notice was filed under the start that the VM's entry showed. An engine that is born again behind a cut from the store, or a store that comes back from a copy, makes that start another one than the process that answered. Departures were carried over only if both clocks agreed, pauses never.

A departure now counts for all starts of the name, and a health check, which leaving engines may get, asks a start in doubt; an answer without the notice to something sent later frees it. No clock decides whether an engine leaves.

--- a/src/cactusshunt/detour/service_reach.py
+++ b/src/cactusshunt/detour/service_reach.py
@@ -12,6 +12,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -26,9 +27,11 @@
 from cactusshunt.tasks.periodic import start_coroutine
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
 
     from cactusshunt.http1.connection_pool import ConnectionPool
+    from cactusshunt.notices.departures import Run
     from cactusshunt.notices.upstream_notices import UpstreamNotices
     from cactusshunt.platform.documents import Configuration
     from cactusshunt.routing.upstream import Upstream
@@ -92,6 +95,7 @@
         self._random = random.Random()
         self._services: dict[str, _Service] = {}
         self._health_paths: dict[str, str] = {}
+        self._asked: set[Run] = set()  # whose answers are awaited
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Use the paths for health checks of a configuration from now on."""
@@ -160,16 +164,28 @@
             return False
         return found.failed or now >= found.unheard_since + SILENCE_S
 
+    def ask(self, upstream: Upstream) -> None:
+        """Send a health check to an upstream of which only another start is known to leave."""
+        run = self._notices.find_run(upstream.name)
+        if run is not None and run not in self._asked:
+            self._asked.add(run)
+            start_coroutine(self._ask(upstream, run))
+
+    async def _ask(self, upstream: Upstream, run: Run) -> None:
+        try:
+            await self._probe_upstream(upstream, lambda: self._notices.may_ask(run))
+        finally:
+            self._asked.discard(run)
+
     async def _probe(self, service: str, found: _Service) -> None:
-        upstreams = [
-            found
-            for found in self._directory.usable(service)
-            if self._notices.may_call(self._notices.find_run(found.name))
-        ]
+        upstreams = [found for found in self._directory.usable(service) if self._may_call(found)]
         chosen = self._random.sample(upstreams, min(PROBED_UPSTREAMS, len(upstreams)))
         found.probing = True
         try:
-            probes = [Deferred.fromCoroutine(self._probe_upstream(each)) for each in chosen]
+            probes = [
+                Deferred.fromCoroutine(self._probe_upstream(each, partial(self._may_call, each)))
+                for each in chosen
+            ]
             answers = await DeferredList(probes, consumeErrors=True)
         finally:
             found.probing = False
@@ -180,7 +196,10 @@
             found.state = ReachState.CUT_OFF
             log_event("cut_off", service=service, helpers=len(self.list_helpers(service)))
 
-    async def _probe_upstream(self, upstream: Upstream) -> bool:
+    def _may_call(self, upstream: Upstream) -> bool:
+        return self._notices.may_call(self._notices.find_run(upstream.name))
+
+    async def _probe_upstream(self, upstream: Upstream, may_send: Callable[[], bool]) -> bool:
         """Return whether an upstream answers a health check with anything."""
         path = self._health_paths.get(upstream.entry.service, DEFAULT_HEALTH_PATH)
         run = self._notices.find_run(upstream.name)
@@ -194,7 +213,7 @@
                 target=path.encode(),
                 headers=[(b"X-Expect-Instance", upstream.name.encode())],
                 deadline=sent_at + PROBE_TIMEOUT_S,
-                may_send=lambda: self._notices.may_call(run),
+                may_send=may_send,
             )
         except UpstreamError:
             return False
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -182,6 +182,7 @@
             directory=self._directory,
             notices=self._notices,
         )
+        self._notices.on_doubt = self._reach.ask
         self._announcer = Announcer(
             reactor=reactor,
             vm=settings.node,
--- a/src/cactusshunt/notices/departures.py
+++ b/src/cactusshunt/notices/departures.py
@@ -18,48 +18,60 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Departure:
-    """When a VM learned that a run of an upstream leaves.
-
-    ``known_since`` is reactor time in seconds, ``unix_ms`` the time of day.
-    """
+    """When a VM learned, in reactor time (s), that a run of an upstream leaves."""
 
     known_since: float
-    unix_ms: int
 
 
 class Departures:
-    """Departures by run; the oldest are forgotten above ``MAX_DEPARTURES``.
+    """Departures by upstream and run; the oldest upstreams are forgotten above ``MAX_DEPARTURES``.
 
-    Nothing but another start ends a departure: an answer without the notice may have been made
-    before one with it, and an entry of the store may be old.
+    The entry in the store may lag behind the process, or come from a copy, so that what a run says
+    may be recorded for another run of its name. A departure therefore counts for every run of the
+    upstream, except for one that an answer has shown to stay. Nothing else ends it: an answer
+    without the notice may have been made before one with it.
     """
 
     def __init__(self) -> None:
-        self._departures: OrderedDict[Run, Departure] = OrderedDict()
+        self._departures: OrderedDict[str, dict[Run, Departure]] = OrderedDict()
+        self._staying: dict[str, Run] = {}  # by upstream: a run that does not leave
 
     def find(self, run: Run) -> Departure | None:
-        """Return the departure of a run, ``None`` if it has not said that it leaves."""
-        return self._departures.get(run)
+        """Return the departure that counts for a run, ``None`` if it may be used."""
+        known = self._departures.get(run.upstream)
+        if not known:
+            return None
+        if run not in known and self._staying.get(run.upstream) == run:
+            return None
+        return known.get(run) or max(known.values(), key=lambda each: each.known_since)
+
+    def is_doubtful(self, run: Run) -> bool:
+        """Return whether only another run of the upstream's name is known to leave."""
+        return self.find(run) is not None and run not in self._departures[run.upstream]
 
     def list_all(self) -> dict[Run, Departure]:
-        """Return all departures, the latest last."""
-        return dict(self._departures)
-
-    def adopt(self, run: Run, born: int) -> None:
-        """Take over the departure of an earlier run of an upstream that was not told apart.
-
-        ``born`` is the Unix time in ms of the run's start that the entry has since. If the
-        notice is later, the answer that had it was already the new run's.
-        """
-        departure = self._departures.get(run)
-        if departure is not None and departure.unix_ms >= born > run.born:
-            self.record(Run(upstream=run.upstream, born=born), departure)
+        """Return all departures, those of the latest upstream last."""
+        return {run: each for known in self._departures.values() for run, each in known.items()}
 
     def record(self, run: Run, departure: Departure) -> bool:
         """Record that a run leaves; return whether that is new."""
-        if run in self._departures:
+        known = self._departures.setdefault(run.upstream, {})
+        if run in known:
             return False
-        self._departures[run] = departure
+        known[run] = departure
+        self._staying.pop(run.upstream, None)
         if len(self._departures) > MAX_DEPARTURES:
-            self._departures.popitem(last=False)
+            forgotten, _ = self._departures.popitem(last=False)
+            self._staying.pop(forgotten, None)
+        return True
+
+    def record_staying(self, run: Run, sent_at: float) -> bool:
+        """Record an answer of a run that does not say that it leaves; return whether that is new.
+
+        It shows that the run stays if the request was sent after the departure was known.
+        """
+        departure = self.find(run)
+        if departure is None or not self.is_doubtful(run) or sent_at <= departure.known_since:
+            return False
+        self._staying[run.upstream] = run
         return True
--- a/src/cactusshunt/notices/upstream_notices.py
+++ b/src/cactusshunt/notices/upstream_notices.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import random
-import time
 
 from typing import TYPE_CHECKING
 from typing import Any
@@ -49,7 +48,8 @@
 class UpstreamNotices:
     """What the upstreams have said of themselves, by run. Times are reactor time in seconds.
 
-    ``on_departure`` is called when an upstream is found to leave.
+    ``on_departure`` is called when an upstream is found to leave, ``on_doubt`` from time to time
+    with each upstream of which only another start is known to leave, so that it is asked.
     """
 
     def __init__(
@@ -71,6 +71,7 @@
         self._unreported: set[Run] = set()
         self._known_peers: frozenset[str] = frozenset()
         self.on_departure: Callable[[], None] = lambda: None
+        self.on_doubt: Callable[[Upstream], None] = lambda upstream: None
 
     def find_run(self, upstream: str) -> Run | None:
         """Return the run of an upstream as its entry gives it, ``None`` if it is not known."""
@@ -102,6 +103,11 @@
         wants_pause = pause is not None and pause.binds(self._now())
         return not wants_pause and (found is None or not found.leaving)
 
+    def may_ask(self, run: Run) -> bool:
+        """Return whether a health check may ask a run whether it leaves."""
+        pause = self._pauses.find(run)
+        return pause is None or not pause.binds(self._now())
+
     def begin(self, run: Run) -> None:
         """Record that a caller's request is sent to a run."""
         if not self._pauses.is_empty:
@@ -156,9 +162,11 @@
         if instance is not None and instance != run.upstream.encode():
             return
         if names.read_leaving(headers):
-            departure = Departure(known_since=self._now(), unix_ms=int(time.time() * 1000))
+            departure = Departure(known_since=self._now())
             if self._record_departure(run, departure, source=self._vm):
                 self._report_later(run)
+        else:
+            self._directory.record_staying(run, sent_at)
         seconds = self._read_pause_s(run, status, headers)
         if seconds:
             self._record_own_pause(run, status, seconds)
@@ -167,12 +175,12 @@
 
     def apply_message(self, report: NoticeReport) -> None:
         """Apply what another VM has learned."""
-        now, unix_ms = self._now(), int(time.time() * 1000)
+        now = self._now()
         for notice in report.notices:
             run = Run(upstream=notice.upstream, born=notice.born)
             if notice.leaving_ms is not None:
-                age_ms = max(0, notice.leaving_ms)
-                departure = Departure(known_since=now - age_ms / 1000.0, unix_ms=unix_ms - age_ms)
+                age_s = max(0, notice.leaving_ms) / 1000.0
+                departure = Departure(known_since=now - age_s)
                 self._record_departure(run, departure, source=report.vm)
                 self._unreported.discard(run)
             if notice.pause_ms > 0:
@@ -181,13 +189,17 @@
                 self._show_pause(run)
 
     def tick(self) -> None:
-        """Tell VMs that are new what is known, and forget pauses that are long over."""
+        """Tell new VMs what is known, ask runs in doubt, and forget pauses that are over."""
         now = self._now()
         for run, pause in self._pauses.list_all().items():
             # The entry of a running upstream may be missing for a while.
-            is_replaced = self.find_run(run.upstream) not in (None, run)
-            if is_replaced or now > pause.returns_at + PAUSE_RETENTION_S:
+            current = self.find_run(run.upstream) or run
+            is_over = now > pause.returns_at + PAUSE_RETENTION_S
+            if is_over or self._pauses.find(current) is None:
                 self._pauses.forget(run)
+                self._show_pause(run)
+        for upstream in self._directory.list_doubtful():
+            self.on_doubt(upstream)
         peers = frozenset(self._link.list_notice_peers())
         new_peers, self._known_peers = peers - self._known_peers, peers
         if new_peers:
@@ -246,8 +258,8 @@
     def _show_pause(self, run: Run) -> None:
         """Let placement and probes see until when an upstream wants a pause."""
         found = self._directory.find(run.upstream)
-        if found is not None and found.entry.born == run.born:
-            pause = self._pauses.find(run)
+        if found is not None:
+            pause = self._pauses.find(_run_of(found))
             found.paused_until = pause.ends_at if pause is not None else 0.0
 
     def _report_later(self, run: Run) -> None:
--- a/src/cactusshunt/routing/upstream.py
+++ b/src/cactusshunt/routing/upstream.py
@@ -76,7 +76,7 @@
         self.entry = entry
         self.address: Address = split_address(entry.address)
         self.removed_at: float | None = None
-        self.leaving = False  # an answer of this run said so
+        self.leaving = False  # an answer of this start, or perhaps of it, said so
         self.paused_until = 0.0  # it wants no request of this VM or another one
         self.request_limit_per_s: float | None = None  # of all VMs together
         self.turned_away_until = 0.0  # rest of a brittle upstream that turned a request away
@@ -217,7 +217,6 @@
         self.missing_at_version = {}
         self.cache.clear()
         self.failure_history = FailureHistory()
-        self.paused_until = 0.0
         self._own_tokens_per_ms = None
 
     def _recent_peer_work(self, now: float) -> list[tuple[float, EngineWork]]:
--- a/src/cactusshunt/routing/upstream_directory.py
+++ b/src/cactusshunt/routing/upstream_directory.py
@@ -92,7 +92,7 @@
 
     def find_departure(self, upstream: Upstream) -> Departure | None:
         """Return since when an upstream is known to leave, ``None`` if it has not said so."""
-        return self._departures.find(Run(upstream=upstream.name, born=upstream.entry.born))
+        return self._departures.find(_run_of(upstream))
 
     def list_departures(self) -> dict[Run, Departure]:
         """Return the runs of upstreams that have said that they leave, the latest last."""
@@ -102,12 +102,23 @@
         """Stop using a run of an upstream that says that it leaves; return whether that is new."""
         if not self._departures.record(run, departure):
             return False
-        found = self._upstreams.get(run.upstream)
-        if found is not None and found.entry.born == run.born:
-            found.leaving = True
-            self.on_change()
+        self._show_departure(run.upstream)
         return True
 
+    def record_staying(self, run: Run, sent_at: float) -> None:
+        """Use a run again whose answer to a request sent at a time shows that it does not leave."""
+        if self._departures.record_staying(run, sent_at):
+            log_event("leaving_disproved", upstream=run.upstream, born=run.born)
+            self._show_departure(run.upstream)
+
+    def list_doubtful(self) -> list[Upstream]:
+        """Return the upstreams of which only another start is known to leave."""
+        return [
+            found
+            for found in self._upstreams.values()
+            if found.leaving and self._departures.is_doubtful(_run_of(found))
+        ]
+
     def expected_at(
         self, service: str, item: str, software_version: str | None = None
     ) -> float | None:
@@ -220,7 +231,6 @@
         if found.entry.born != entry.born:
             log_event("upstream_restarted", upstream=name, born=entry.born)
             found.reset_after_restart()
-            self._departures.adopt(Run(upstream=name, born=found.entry.born), entry.born)
         self._by_service[found.entry.service].pop(name, None)
         self._by_service[entry.service][name] = found
         found.entry = entry
@@ -229,6 +239,12 @@
         found.removed_at = None
         self._apply_reported_models(found, entry)
 
+    def _show_departure(self, name: str) -> None:
+        found = self._upstreams.get(name)
+        if found is not None:
+            found.leaving = self.find_departure(found) is not None
+            self.on_change()
+
     def _apply_reported_models(self, found: Upstream, entry: UpstreamEntry) -> None:
         """Apply the models in an engine's entry, unless the order holder's update is recent."""
         now = self._clock()
@@ -283,3 +299,7 @@
             found = self._upstreams.pop(name)
             self._by_service[found.entry.service].pop(name, None)
             self.on_expired(found)
+
+
+def _run_of(upstream: Upstream) -> Run:
+    return Run(upstream=upstream.name, born=upstream.entry.born)
