Do not take the only version that a VM out of step knows for a stream's

Streams that began at engines of a new software version through other VMs were taken up at a VM that was cut off from the store, and went on at an engine of the old version.

Cause: find_origin answered with the only version in service before it asked whether the records were read, and 'in service' was what the VM knew from before.

A take-up at a VM that reaches no store is refused; one more read is made only where a stream has neither record nor settled version.

--- a/src/cactusshunt/platform/documents.py
+++ b/src/cactusshunt/platform/documents.py
@@ -172,6 +172,11 @@
     at_hand: CachedWeights = CachedWeights()
     sequence: Count = 0
 
+    @property
+    def software_version(self) -> str:
+        """Return the version of the upstream's software, empty if the entry names none."""
+        return "" if self.version is None else str(self.version)
+
 
 class EngineReport(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """State that an engine reports on request, up to some hundred ms out of date.
--- a/src/cactusshunt/routing/upstream.py
+++ b/src/cactusshunt/routing/upstream.py
@@ -99,7 +99,7 @@
     @property
     def software_version(self) -> str:
         """Return the version of the upstream's software, empty if its entry names none."""
-        return "" if self.entry.version is None else str(self.entry.version)
+        return self.entry.software_version
 
     @property
     def running(self) -> int:
--- a/src/cactusshunt/streams/stream_versions.py
+++ b/src/cactusshunt/streams/stream_versions.py
@@ -4,25 +4,29 @@
 
 import secrets
 
+from collections import defaultdict
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
-from twisted.internet.defer import Deferred
-
 from cactusshunt.decisions.rendezvous import rank_nodes
 from cactusshunt.exceptions import CompareFailedError
 from cactusshunt.exceptions import StoreError
 from cactusshunt.membership.tenure import STORE_SILENCE_S
 from cactusshunt.node_log import log_event
+from cactusshunt.platform.documents import UPSTREAMS_PREFIX
+from cactusshunt.platform.documents import decode_upstream_entry
 from cactusshunt.platform.store import ABSENT
 from cactusshunt.requests.admission import Refusal
+from cactusshunt.streams.shared_read import SharedRead
 from cactusshunt.streams.stream_records import STREAMS_PREFIX
 from cactusshunt.streams.stream_records import decode_streams
 from cactusshunt.streams.stream_records import encode_streams
 from cactusshunt.streams.stream_records import make_settled_key
 from cactusshunt.streams.stream_records import make_streams_key
 from cactusshunt.streams.stream_records import read_settled_service
+from cactusshunt.streams.version_rule import UNKNOWN_ORIGIN
 from cactusshunt.streams.version_rule import OriginSource
 from cactusshunt.streams.version_rule import StreamOrigin
 from cactusshunt.streams.version_rule import choose_settled
@@ -34,6 +38,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from cactusshunt.configuration.store_era import StoreEra
     from cactusshunt.membership.peer_link import PeerLink
@@ -101,13 +106,14 @@
         self._write_due = False
         self._writing = False
         self._on_written: list[Callable[[], None]] = []
-        self._readers: list[Deferred[StreamRecords | None]] = []
-        self._reading = False
+        self._record_reads = SharedRead(read=self._read_records)
+        self._version_reads = SharedRead(read=self._read_all_versions)
         self._store_silent_at: float | None = None
         self._records_doubtful = False  # the store was silent since the last write
         # keys of all VMs' streams: revision and when this VM saw the last change
         self._stored_keys: dict[str, tuple[int, float]] = {}
-        era.on_change.append(self._write_again)
+        self._copied_at: float | None = None  # when the store came back from a copy
+        era.on_change.append(self._handle_copy)
 
     @property
     def recorded(self) -> int:
@@ -230,42 +236,61 @@
         own = self._own.get(attempt)
         if own is not None:
             return StreamOrigin(version=own.version, source=OriginSource.OWN)
-        records = await self._read_records() if attempt else None
-        return find_origin(
+        records = await self._record_reads.request()
+        find = partial(
+            find_origin,
             attempt=attempt,
             records=records,
             settled=self.settled_version(job.service),
-            in_service=self._list_versions(job.service),
-            store_was_silent=self._store_was_silent(),
+            records_may_be_missing=self._store_was_silent(),
         )
+        origin = find(in_service=None)
+        if origin is not UNKNOWN_ORIGIN or records is None:
+            return origin
+        if len(self._list_versions(job.service)) > 1:
+            return origin
+        return find(in_service=await self._read_versions(job.service))
+
+    async def _read_versions(self, service: str) -> set[str] | None:
+        """Return the software versions of a service's upstreams, ``None`` if they are not known.
+
+        Those that this VM knows count too: the entry of a running upstream may be missing. After
+        the store came back from a copy, entries of upstreams that no VM remembers may be, too.
+        """
+        stored = await self._version_reads.request()
+        at = self._copied_at
+        if stored is None or (at is not None and self._now() - at < SILENCE_AFTERMATH_S):
+            return None
+        return stored[service] | self._list_versions(service)
 
-    def _read_records(self) -> Deferred[StreamRecords | None]:
-        """Return all VMs' records as of a read that begins after now, ``None`` if it fails."""
-        reader: Deferred[StreamRecords | None] = Deferred()
-        self._readers.append(reader)
-        if not self._reading:
-            self._reading = True
-            start_coroutine(self._read_while_needed())
-        return reader
-
-    async def _read_while_needed(self) -> None:
-        while self._readers:
-            readers, self._readers = self._readers, []
-            records = await self._read_once()
-            for reader in readers:
-                reader.callback(records)
-        self._reading = False
-
-    async def _read_once(self) -> StreamRecords | None:
+    async def _read_records(self) -> StreamRecords | None:
+        items = await self._read_items(STREAMS_PREFIX)
+        return None if items is None else decode_streams(items)
+
+    async def _read_all_versions(self) -> defaultdict[str, set[str]] | None:
+        items = await self._read_items(UPSTREAMS_PREFIX)
+        if items is None:
+            return None
+        versions: defaultdict[str, set[str]] = defaultdict(set)
+        for item in items:
+            entry = decode_upstream_entry(item.value or b"")
+            if entry is not None:
+                versions[entry.service].add(entry.software_version)
+        return versions
+
+    async def _read_items(self, prefix: str) -> Sequence[StoredItem] | None:
         for _ in range(READ_ATTEMPTS):
             try:
                 deadline = self._now() + CALL_TIMEOUT_S
-                found = await self._store.read_prefix(STREAMS_PREFIX, deadline=deadline)
-                return decode_streams(found.items)
+                return (await self._store.read_prefix(prefix, deadline=deadline)).items
             except StoreError as error:
                 log_event("stream_records_unread", reason=error.reason)
         return None
 
+    def _handle_copy(self) -> None:
+        self._copied_at = self._now()
+        self._write_again()
+
     def _write_again(self) -> None:
         """Write the record again, which the store may have lost."""
         self._store_silent_at = self._now()
--- a/src/cactusshunt/streams/version_rule.py
+++ b/src/cactusshunt/streams/version_rule.py
@@ -49,25 +49,26 @@
     attempt: str,
     records: StreamRecords | None,
     settled: str | None,
-    in_service: Collection[str],
-    store_was_silent: bool,
+    in_service: Collection[str] | None,
+    records_may_be_missing: bool,
 ) -> StreamOrigin:
     """Return the version that began a stream which this VM did not begin.
 
     ``attempt`` is the ID of the request that brought its first event, empty if the caller did not
-    name it. ``records`` maps such IDs to versions as the store had them after the request arrived,
-    ``None`` if the store was not read. ``in_service`` are the versions of the service's upstreams.
-    ``store_was_silent`` means that records may be missing.
+    name it. ``records`` maps such IDs to versions and ``in_service`` are the versions of the
+    service's upstreams, both as the store had them after the request arrived, ``None`` if that was
+    not read. What a VM that was out of step knew before is no evidence: it may miss a new version.
     """
-    only = next(iter(in_service)) if len(in_service) == 1 else None
-    if records is not None and attempt in records:
-        version = records[attempt]
-        return StreamOrigin(version=version, source=OriginSource.RECORD)
+    if records is None:
+        return UNKNOWN_ORIGIN
+    if attempt in records:
+        return StreamOrigin(version=records[attempt], source=OriginSource.RECORD)
+    if attempt and settled is not None and not records_may_be_missing:
+        return StreamOrigin(version=settled, source=OriginSource.SETTLED)
+    only = next(iter(in_service)) if in_service is not None and len(in_service) == 1 else None
     if only is not None and settled in (None, only):
         return StreamOrigin(version=only, source=OriginSource.ONLY)
-    if not attempt or records is None or settled is None or store_was_silent:
-        return UNKNOWN_ORIGIN
-    return StreamOrigin(version=settled, source=OriginSource.SETTLED)
+    return UNKNOWN_ORIGIN
 
 
 def needs_record(
--- a/tests/steps/simulated_streams.py
+++ b/tests/steps/simulated_streams.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import json
 import random
 
 from collections import Counter
 from dataclasses import dataclass
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -13,6 +15,8 @@
 from simulated_store import SimulatedStore
 from twisted.internet.task import Clock
 
+from cactusshunt.platform.documents import UPSTREAMS_PREFIX
+from cactusshunt.platform.store import StoredItem
 from cactusshunt.streams.stream_records import STREAMS_PREFIX
 from cactusshunt.streams.stream_versions import StreamVersions
 from cactusshunt.tasks.periodic import start_coroutine
@@ -35,9 +39,10 @@
 class CountedClient(SimulatedClient):
     """A VM's calls to the store, counted."""
 
-    def __init__(self, store: SimulatedStore, calls: Counter[str]) -> None:
-        super().__init__(store)
-        self._calls = calls
+    def __init__(self, fleet: SimulatedStreams) -> None:
+        super().__init__(fleet.store)
+        self._fleet = fleet
+        self._calls = fleet.calls
 
     async def commit(self, **call: Any) -> Any:
         """Write all keys or none."""
@@ -46,9 +51,20 @@
         return await super().commit(**call)
 
     async def read_prefix(self, prefix: str, *, deadline: float) -> Any:
-        """Read all items."""
+        """Read all items; those of upstreams are made from the versions in service."""
         self._calls["reads"] += 1
-        return await super().read_prefix(prefix, deadline=deadline)
+        answer = await super().read_prefix(prefix, deadline=deadline)
+        if prefix != UPSTREAMS_PREFIX:
+            return answer
+        versions = self._fleet.list_in_service(self._fleet.clock.seconds())
+        return replace(answer, items=[make_entry(n, each) for n, each in enumerate(versions)])
+
+
+def make_entry(number: int, version: str) -> StoredItem:
+    """Return the entry of an upstream of a software version."""
+    entry = {"service": SERVICE, "address": "127.0.0.1:1", "state": "ready", "version": version}
+    value = json.dumps(entry).encode()
+    return StoredItem(key=f"{UPSTREAMS_PREFIX}e{number}", value=value, revision=1)
 
 
 @dataclass(kw_only=True)
@@ -73,7 +89,7 @@
         self._fleet = fleet
         self.lag_s = fleet.rng.uniform(*VIEW_LAG_S)
         self.seen_at = -1.0
-        self.client = CountedClient(fleet.store, fleet.calls)
+        self.client = CountedClient(fleet)
         self.silent_since: float | None = None
         self.streams = StreamVersions(
             reactor=fleet.clock,
@@ -88,11 +104,15 @@
         )
         self.streams.set_configuration(SimpleNamespace(routes=[ROUTE]))  # type: ignore[arg-type]
         self.next_tick_at = 0.0
+        self.stands_still_until = -1.0
         self._revisions: dict[str, int] = {}
         self.in_service: list[str] = []
 
     def step(self, now: float) -> None:
         """Read the store when the lag has passed, and run the periodic work."""
+        if now < self.stands_still_until:
+            self.silent_since = now if self.silent_since is None else self.silent_since
+            return
         if self._fleet.store.down or self.client.cut:
             self.silent_since = now if self.silent_since is None else self.silent_since
         else:
@@ -130,6 +150,7 @@
         self.vms = [f"vm{number}" for number in range(vms)]
         self.running = {vm: SimulatedVmProcess(self, vm) for vm in self.vms}
         self.all: list[SimulatedStream] = []
+        self.out_of_step: set[str] = set()  # these VMs don't end
         self.writes_before_rollout = 0
 
     def list_in_service(self, now: float) -> list[str]:
@@ -138,6 +159,15 @@
         replaced = int(10 * min(1.0, max(0.0, (now - begin) / (end - begin) + 0.099)))
         return [NEW] * replaced + [OLD] * (10 - replaced)
 
+    def put_out_of_step(self, vm: str, seconds: float, *, stands_still: bool) -> None:
+        """Cut a VM off from the store alone, or let it stand still, so that its view grows old."""
+        process = self.running[vm]
+        if stands_still:
+            process.stands_still_until = self.clock.seconds() + seconds
+            return
+        process.client.cut = True
+        self.clock.callLater(seconds, setattr, process.client, "cut", False)
+
     def run(self, seconds: float, power_lost_at: list[float], killed_per_s: float) -> None:
         """Begin streams and let VMs end; all of them at each of the given times."""
         losses = list(power_lost_at)
@@ -149,8 +179,9 @@
                 losses.pop(0)
                 for vm in list(self.running):
                     self.end_vm(vm)
-            if self.running and self.rng.random() < killed_per_s * STEP_S:
-                self.end_vm(self.rng.choice(list(self.running)))
+            mortal = [vm for vm in self.running if vm not in self.out_of_step]
+            if mortal and self.rng.random() < killed_per_s * STEP_S:
+                self.end_vm(self.rng.choice(mortal))
             for process in list(self.running.values()):
                 process.step(now)
             if self.running and self.rng.random() < STREAMS_PER_S * STEP_S:
--- a/tests/steps/stream_version_steps.py
+++ b/tests/steps/stream_version_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
 
 from behave import given
@@ -9,6 +10,7 @@
 from behave import when
 from simulated_streams import NEW
 from simulated_streams import OLD
+from simulated_streams import ROLLOUT
 from simulated_streams import SimulatedStreams
 
 from cactusshunt.platform.store import StoredItem
@@ -19,6 +21,7 @@
 
 SECONDS = 50.0
 SEED = 7
+OUT_OF_STEP_S = 5.0
 
 
 @given("{vms:d} simulated VMs and a service whose upstreams get a new software version")
@@ -38,6 +41,25 @@
     context.fleet.run(SECONDS, power_lost_at=[17.1], killed_per_s=0.0)
 
 
+@when("{vms:d} VMs are cut off from the store or stand still while a new version joins, 10 times")
+def put_out_of_step(context: Any, vms: int) -> None:
+    context.joined = 0
+    for seed in range(10):
+        fleet = SimulatedStreams(len(context.fleet.vms), seed)
+        fleet.out_of_step = set(fleet.vms[:vms])
+        for number, vm in enumerate(fleet.vms[:vms]):
+            stands_still = number % 2 == 1
+            step = partial(fleet.put_out_of_step, vm, OUT_OF_STEP_S, stands_still=stands_still)
+            fleet.clock.callLater(ROLLOUT[0] - 0.5, step)
+        fleet.run(ROLLOUT[0] + OUT_OF_STEP_S + 1.0, power_lost_at=[], killed_per_s=2.0)
+        context.joined += fleet.joined
+
+
+@then("no stream of these fleets has events of two software versions")
+def check_joined_out_of_step(context: Any) -> None:
+    assert context.joined == 0, context.joined
+
+
 @then("no simulated stream has events of two software versions")
 def check_joined(context: Any) -> None:
     assert context.fleet.joined == 0, context.fleet.joined
@@ -79,10 +101,30 @@
         records=context.records,
         settled=OLD,
         in_service={OLD, NEW},
-        store_was_silent=False,
+        records_may_be_missing=False,
     )
     assert origin.version is None, origin
     other = find_origin(
-        attempt="b", records=None, settled=OLD, in_service={OLD, NEW}, store_was_silent=False
+        attempt="b", records=None, settled=OLD, in_service={OLD, NEW}, records_may_be_missing=False
     )
     assert other == UNKNOWN_ORIGIN
+
+
+@given("a VM that knows one software version, and does not read which versions began streams")
+def know_one_version(context: Any) -> None:
+    context.origins = [
+        find_origin(
+            attempt=attempt,
+            records=None,
+            settled=settled,
+            in_service={OLD},
+            records_may_be_missing=False,
+        )
+        for attempt in ("a", "")
+        for settled in (None, OLD)
+    ]
+
+
+@then("the version that began a stream which is taken up is not known")
+def check_all_unknown(context: Any) -> None:
+    assert all(origin == UNKNOWN_ORIGIN for origin in context.origins), context.origins
--- a/tests/streams/software_versions.feature
+++ b/tests/streams/software_versions.feature
@@ -63,3 +63,18 @@
   Scenario: A VM cannot tell which version began a stream
     Given records of two VMs that name different versions for a stream
     Then the version that began it is not known
+
+  Scenario: A VM that is cut off from the store takes the only version that it knows for a stream's
+    Given a VM that knows one software version, and does not read which versions began streams
+    Then the version that began a stream which is taken up is not known
+
+  Scenario Outline: VMs that are out of step join streams when a new software version comes
+    Given <vms> simulated VMs and a service whose upstreams get a new software version
+    When <out> VMs are cut off from the store or stand still while a new version joins, 10 times
+    Then no stream of these fleets has events of two software versions
+
+    Examples:
+      | vms | out |
+      | 2   | 1   |
+      | 8   | 4   |
+      | 65  | 20  |
