Answer all that a stopping node has taken, up to its end

Callers who went on using a node from SIGTERM until its process was gone had up to 21 of 1,314 requests closed on them without an answer, and requests in flight at the end of the grace period were cut, among them such as may run once.

Cause: connections without a request were closed every 50 ms, also those that had just been opened for one; at the end of the grace period the reactor stopped with requests in flight.

--- a/src/cactusshunt/http1/caller_connection.py
+++ b/src/cactusshunt/http1/caller_connection.py
@@ -83,6 +83,7 @@
         self._chunked = False
         self.on_disconnect: Callable[[], None] | None = None
         self.busy = False
+        self._idle_since: float = reactor.seconds()
 
     @property
     def disconnected(self) -> bool:
@@ -145,6 +146,7 @@
         self._send(h11.EndOfMessage())
         self.on_disconnect = None
         self.busy = False
+        self._idle_since = self._reactor.seconds()
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             self._close()
             return
@@ -163,9 +165,9 @@
         if not self._lost:
             transport.abortConnection()
 
-    def close_idle(self) -> None:
-        """Close the connection if no request is being read or answered."""
-        if not self.busy and not self.receiving:
+    def close_idle(self, idle_since: float) -> None:
+        """Close the connection if no request is being read or answered since a reactor time."""
+        if not self.busy and not self.receiving and self._idle_since <= idle_since:
             self._close()
 
     def _read_events(self) -> None:
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -61,7 +61,9 @@
 from cactusshunt.requests.relay import Relay
 from cactusshunt.requests.retry_allowance import RetryAllowance
 from cactusshunt.requests.stopping import ACCEPT_AFTER_STOP_S
+from cactusshunt.requests.stopping import IDLE_BEFORE_CLOSE_S
 from cactusshunt.requests.stopping import compute_serving_end
+from cactusshunt.requests.stopping import has_ended
 from cactusshunt.requests.upstream_picker import UpstreamPicker
 from cactusshunt.routing.upstream_directory import UpstreamDirectory
 from cactusshunt.streams.stream_records import SETTLED_PREFIX
@@ -75,6 +77,8 @@
     from collections.abc import Callable
     from pathlib import Path
 
+    from twisted.internet.interfaces import IListeningPort
+
     from cactusshunt.membership.messages import Message
     from cactusshunt.platform.boot import BootSettings
     from cactusshunt.platform.store import StoredItem
@@ -105,6 +109,7 @@
         self._version = 0
         self._logged_peer_bytes: Counter[str] = Counter()
         self._stopping_since: float | None = None
+        self._caller_ports: list[IListeningPort] = []  # until this VM accepts nothing more
         self._pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
         self._order_pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
         self._era = StoreEra(clock=reactor.seconds)
@@ -284,7 +289,7 @@
         """Open the listening ports and start all tasks."""
         settings = self._settings
         log_event("start", version=self._version, zone=settings.zone)
-        self._listen(settings.listen.front, self._callers)
+        self._caller_ports.append(self._listen(settings.listen.front, self._callers))
         page = ReadyPage(
             is_ready=self.is_ready, dump=self._state.dump_state, lift=self._quarantine.lift
         )
@@ -292,7 +297,8 @@
         peer_requests = PeerRequests(
             callers=self._callers, link=self._link, configuration_version=lambda: self._version
         )
-        self._listen(f"{settings.ip}:{settings.port_range[0]}", peer_requests)
+        peer_address = f"{settings.ip}:{settings.port_range[0]}"
+        self._caller_ports.append(self._listen(peer_address, peer_requests))
         self._serve_metrics(settings.ip)
         self._reactor.listenUDP(settings.port_range[0], self._link, interface=settings.ip)
         start_coroutine(self._view.run())
@@ -358,14 +364,17 @@
         address = split_address(self._settings.platform.address)
         return PlatformStore(reactor=self._reactor, address=address, pool=pool, era=self._era)
 
-    def _listen(self, address: str, handler: Any) -> None:
+    def _listen(self, address: str, handler: Any) -> IListeningPort:
         host, port = split_address(address)
         factory = Factory()
         factory.noisy = False
         factory.buildProtocol = lambda addr: CallerConnection(  # type: ignore[method-assign]
             reactor=self._reactor, handler=handler
         )
-        self._reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
+        listening: IListeningPort = self._reactor.listenTCP(
+            port, factory, backlog=LISTEN_BACKLOG, interface=host
+        )
+        return listening
 
     def _serve_metrics(self, address: str) -> None:
         if not self._metrics_port:
@@ -456,16 +465,29 @@
         now = self._now()
         if now < self._stopping_since + ACCEPT_AFTER_STOP_S:
             return
-        self._callers.close_idle()
-        grace_period_over = now >= compute_serving_end(
-            self._stopping_since, self._settings.bounds.grace_s
-        )
-        if grace_period_over or (not self._callers.in_flight and not self._callers.connections):
+        serving_end = compute_serving_end(self._stopping_since, self._settings.bounds.grace_s)
+        if now < serving_end:
+            self._callers.close_idle(now - IDLE_BEFORE_CLOSE_S)
+        else:
+            self._end_serving()
+        if has_ended(
+            now=now,
+            serving_end=serving_end,
+            in_flight=self._callers.in_flight,
+            connections=len(self._callers.connections),
+        ):
             log_event("end", in_flight=self._callers.in_flight)
             flush_log()
             if self._reactor.running:
                 self._reactor.stop()
 
+    def _end_serving(self) -> None:
+        """Accept nothing more, and send the last answers."""
+        while self._caller_ports:
+            self._caller_ports.pop().stopListening()
+        self._callers.answer_all()
+        self._callers.close_idle(self._now())
+
     def _repeat(self, seconds: float, run: Any) -> None:
         loop = LoopingCall(run)
         loop.clock = self._reactor
--- a/src/cactusshunt/requests/caller_requests.py
+++ b/src/cactusshunt/requests/caller_requests.py
@@ -51,7 +51,7 @@
         self._limits = DEFAULT_LIMITS
         self._random = random.Random()
         self.connections: set[CallerConnection] = set()
-        self.in_flight = 0
+        self._jobs: set[Job] = set()
         self.detours_in_flight = 0
         self._grace_s = grace_s
         self._stopping_since: float | None = None
@@ -87,10 +87,20 @@
         """Record the end of a connection."""
         self.connections.discard(connection)
 
-    def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that are handled."""
+        return len(self._jobs)
+
+    def close_idle(self, idle_since: float) -> None:
+        """Close the connections without a request in progress since a reactor time."""
         for connection in list(self.connections):
-            connection.close_idle()
+            connection.close_idle(idle_since)
+
+    def answer_all(self) -> None:
+        """Answer all requests in flight, because this VM ends."""
+        for job in list(self._jobs):
+            self._relay.answer_at_stop(job)
 
     def handle(
         self, request: ReceivedRequest, connection: CallerConnection, *, is_detour: bool = False
@@ -162,12 +172,12 @@
         )
 
     async def _run(self, job: Job) -> None:
-        self.in_flight += 1
+        self._jobs.add(job)
         self.detours_in_flight += job.is_detour
         try:
             await self._relay.run(job)
         finally:
-            self.in_flight -= 1
+            self._jobs.discard(job)
             self.detours_in_flight -= job.is_detour
 
     def _record_demand(self, job: Job, now: float) -> None:
--- a/src/cactusshunt/requests/job.py
+++ b/src/cactusshunt/requests/job.py
@@ -35,7 +35,7 @@
     admitted: bool = False
 
 
-@dataclass(kw_only=True)
+@dataclass(kw_only=True, eq=False)
 class Job:
     """A request with its route, its deadline, and the outcomes of its attempts.
 
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -25,6 +25,7 @@
 from cactusshunt.requests.request_log import log_attempt
 from cactusshunt.requests.request_log import log_failure
 from cactusshunt.requests.request_log import log_limits
+from cactusshunt.requests.stopping import RETRY_AFTER_S
 from cactusshunt.routing.failure_history import record_failure
 from cactusshunt.routing.failure_history import record_success
 from cactusshunt.routing.upstream import Attempt
@@ -423,12 +424,20 @@
             answer = local_answers.mark_for_peer(answer, ran=ran)
         job.connection.answer(*answer)
 
+    def answer_at_stop(self, job: Job) -> None:
+        """Send a local answer because this VM ends; a stream that has begun is broken off."""
+        job.retry_after_s = RETRY_AFTER_S
+        self._end(job, "this VM is stopping")
+
     def _answer_at_deadline(self, job: Job) -> None:
         """Send a local answer when the timeout of the route or the caller has passed."""
+        self._end(job, "time is up")
+
+    def _end(self, job: Job, reason: str) -> None:
         if job.done:
             return
         on_timeout, job.on_timeout = job.on_timeout, None
-        self._answer_locally(job, "time is up")
+        self._answer_locally(job, reason)
         if on_timeout is not None:
             on_timeout()
         self._picker.wake()
