Show that a head that ends early is never taken for an answer

Another operator's clients got a 200 with an empty or short body, framed as whole, after an engine stopped in the middle of its answer's head. Whether that can happen here was not shown at the level of processes.

The stand-in ends the connection after any byte of its heads.

--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -34,6 +34,9 @@
 status or ``refuse`` with an error's text, ``empty`` without events, ``json`` with another content
 type, ``anew`` from the first event, ``unsealed`` without a seal; ``null`` ends it.
 
+``POST /test/cut`` ends the connection of each run after ``at`` bytes of its answer's head, with a
+reset if it ``resets``; ``null`` ends it. ``cut`` lists these runs.
+
 ``POST /test/echo`` makes a plain instance write an earlier refusal once more: ``how`` is ``before``
 an answer, ``instead`` of it or ``after`` it; without the earlier request's ID if ``anonymous``.
 
@@ -58,6 +61,7 @@
 from twisted.internet.threads import deferToThread
 from twisted.web.server import NOT_DONE_YET
 
+from stand_ins.cut_heads import HeadCut
 from stand_ins.engine_notices import EngineNotices
 from stand_ins.http import abort_connection
 from stand_ins.http import encode_answer
@@ -127,6 +131,7 @@
         self._notices = EngineNotices()
         self._taken_up: str | None = None
         self._echo = RefusalEcho()
+        self._cut = HeadCut()
         self._alive = True
         self.listen: Callable[[], IListeningPort] | None = None
         self._port: IListeningPort | None = None
@@ -214,6 +219,9 @@
         if path == "/test/taken-up":
             self._taken_up = read_json(request)["answer"]
             return {}
+        if path == "/test/cut":
+            self._cut.configure(read_json(request))
+            return {}
         if path == "/test/echo":
             self._echo.configure(read_json(request))
             return {}
@@ -226,6 +234,7 @@
                 "deadly": self._deadly,
                 "crashes": self._crashes,
                 "falls": self._falls,
+                "cut": self._cut.runs,
                 "turned_away": len(self._turned_away),
                 "overcommitted": self.overcommitted,
             }
@@ -299,6 +308,8 @@
         self._runs.append(request_id)
         print("run", request_id, time.time(), flush=True)
         request.notifyFinish().addErrback(lambda _: self._cancelled.append(request_id))
+        if self._cut.spoil(request):
+            return NOT_DONE_YET
         if fault == "stale":
             request.setHeader("X-Not-Executed", "1")
             request.responseHeaders.removeHeader("X-Request-Id")
