End without an error on a signal that comes while modules are imported

SIGTERM or SIGHUP in the first half second of a process ended it by the signal, with an error (-15, -1), since nothing handled them until all modules were imported; SIGHUP ended a process that should have gone on.

early_signals is imported first: SIGTERM and SIGINT end the process with status 0, it has accepted nothing; SIGHUP is ignored, no settings have been read. What comes before the interpreter's first line cannot be handled here.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -8,6 +8,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
+from cactusshunt import early_signals  # noqa: F401
 from cactusshunt.node import run_node
 from cactusshunt.platform.boot import find_settings_file
 
