Wait for a port that is in use, then end with status 3

A start on a port in use went on without a listener until it was told to stop: callers were refused by a process that looked alive.

Ports are opened one by one, the ready page last; one in use is tried again for 3 s, as the process before may be about to end, then the node logs port_in_use and ends with status 3. tests/platform/starts.feature: 3 of 3 failed before and pass now.

--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -5,6 +5,7 @@
 import signal
 
 from collections import Counter
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -92,6 +93,9 @@
 LOG_FLUSH_INTERVAL_S = 0.1
 PEER_TRAFFIC_LOG_INTERVAL_S = 5.0
 LISTEN_BACKLOG = 512
+PORT_IN_USE_TIMEOUT_S = 3.0
+PORT_RETRY_INTERVAL_S = 0.1
+PORT_IN_USE_STATUS = 3  # of the process
 
 
 class Node:
@@ -100,6 +104,7 @@
     def __init__(
         self, *, reactor: Any, settings: BootSettings, settings_path: Path, metrics_port: int = 0
     ) -> None:
+        self.exit_status = 0
         self._reactor = reactor
         self._metrics_port = metrics_port
         self._settings = settings
@@ -289,18 +294,52 @@
         """Open the listening ports and start all tasks."""
         settings = self._settings
         log_event("start", version=self._version, zone=settings.zone)
-        self._caller_ports.append(self._listen(settings.listen.front, self._callers))
         page = ReadyPage(
             is_ready=self.is_ready, dump=self._state.dump_state, lift=self._quarantine.lift
         )
-        self._listen(settings.listen.ready, page)
         peer_requests = PeerRequests(
             callers=self._callers, link=self._link, configuration_version=lambda: self._version
         )
-        peer_address = f"{settings.ip}:{settings.port_range[0]}"
-        self._caller_ports.append(self._listen(peer_address, peer_requests))
-        self._serve_metrics(settings.ip)
-        self._reactor.listenUDP(settings.port_range[0], self._link, interface=settings.ip)
+        udp_port = settings.port_range[0]
+        peer_address = f"{settings.ip}:{udp_port}"
+        listen_udp = partial(self._reactor.listenUDP, udp_port, self._link, interface=settings.ip)
+        self._open_ports(
+            [
+                (peer_address, listen_udp),
+                (peer_address, partial(self._listen_for_callers, peer_address, peer_requests)),
+                (
+                    settings.listen.front,
+                    partial(self._listen_for_callers, settings.listen.front, self._callers),
+                ),
+                (settings.listen.ready, partial(self._listen, settings.listen.ready, page)),
+            ],
+            deadline=self._now() + PORT_IN_USE_TIMEOUT_S,
+        )
+
+    def _open_ports(self, ports: list[tuple[str, Callable[[], Any]]], *, deadline: float) -> None:
+        """Open ports by address and begin all tasks, or end the process if one stays in use."""
+        while ports:
+            address, listen = ports[0]
+            try:
+                listen()
+            except CannotListenError as error:
+                if self._stopping_since is not None:
+                    return
+                if self._now() >= deadline:
+                    log_event("port_in_use", address=address, reason=str(error))
+                    flush_log()
+                    self.exit_status = PORT_IN_USE_STATUS
+                    self._reactor.stop()
+                    return
+                # The process before this one may be about to end.
+                retry = partial(self._open_ports, ports, deadline=deadline)
+                self._reactor.callLater(PORT_RETRY_INTERVAL_S, retry)
+                return
+            ports.pop(0)
+        self._begin_tasks()
+
+    def _begin_tasks(self) -> None:
+        self._serve_metrics(self._settings.ip)
         start_coroutine(self._view.run())
         start_coroutine(self._membership.run())
         self._repeat(ORDER_TICK_INTERVAL_S, self._orders.tick)
@@ -313,6 +352,9 @@
         self._repeat(LOG_FLUSH_INTERVAL_S, flush_log)
         self._repeat(PEER_TRAFFIC_LOG_INTERVAL_S, self._log_peer_traffic)
 
+    def _listen_for_callers(self, address: str, handler: Any) -> None:
+        self._caller_ports.append(self._listen(address, handler))
+
     def is_ready(self) -> bool:
         """Return whether the load balancer should send new callers here."""
         return self._version > 0 and self._stopping_since is None
@@ -502,7 +544,8 @@
 
 
 def run_node(path: Path, metrics_port: int = 0) -> int:
-    """Run the process until a signal stops it, and return its exit status.
+    """Run the process until a signal stops it, and return its exit status: 2 if its settings are
+    not valid, 3 if one of its ports stays in use.
 
     Metrics are served on ``metrics_port`` of the VM's address, unless it is 0.
     """
@@ -524,4 +567,4 @@
     signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(node.stop))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reload))
     reactor.run(installSignalHandlers=False)
-    return 0
+    return node.exit_status
