Let signals come in series in the soak, and callers use a stopping node to its end

The soak sent one SIGTERM at a time, all its requests had deadlines beyond the end of a stopping node, and its check looked at requests from the first second after the signal only; so it could not see a request that is taken late and cut.

Series of SIGHUP, SIGTERM, SIGHUP, SIGTERM are drawn apart from the other faults, a part of the requests has short deadlines, and any request that is cut more than 0.2 s after it was sent counts.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -39,6 +39,7 @@
 from soak.schedule import draw_faults
 from soak.schedule import draw_limits
 from soak.schedule import draw_notices
+from soak.schedule import draw_signals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,6 +65,11 @@
 )
 BRITTLE_PER_S, BRITTLE_ROOM, BRITTLE_WORK_S = 2, 10, 0.1
 DEADLY_REPEAT_S = 0.3
+SIGNALS_BY_KIND = {
+    "node_stop": (signal.SIGTERM,),
+    "node_signals": (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM),
+}
+SIGNAL_GAP_S = 0.05
 RESTART_DELAY_S = 0.3  # imitates a platform that restarts ended processes
 COOL_DOWN_S = 4.0  # lets open requests finish at the end of a run
 
@@ -267,7 +273,9 @@
     def _restart_process(self, kind: str, target: str) -> None:
         process = self._fleet.processes[target]
         self._fleet.signal(target, signal.SIGCONT)
-        self._fleet.signal(target, signal.SIGTERM if kind == "node_stop" else signal.SIGKILL)
+        for number in SIGNALS_BY_KIND.get(kind, (signal.SIGKILL,)):
+            self._fleet.signal(target, number)
+            time.sleep(SIGNAL_GAP_S)
         status = process.wait()
         if status not in (0, -signal.SIGKILL):
             self._failed_processes.append(f"{target} ({status})")
@@ -370,6 +378,7 @@
     """Run the programs under faults and check the observations against the guarantees."""
     fleet = SoakFleet(first_port=first_port, nodes=nodes, beside=beside)
     faults = draw_faults(seed, minutes * 60.0, list(fleet.caller_ports), list(fleet.upstream_ports))
+    faults += draw_signals(seed, minutes * 60.0, list(fleet.caller_ports))
     faults += draw_copies(seed, minutes * 60.0)
     faults += draw_deadly(seed, minutes * 60.0)
     faults += draw_cuts(seed, minutes * 60.0, list(fleet.caller_ports))
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -27,6 +27,8 @@
 DEADLY_PATH = "/again/deadly"  # some instances of plain services die of it for a while
 DEADLY_PATH_SHARE = 0.02  # of the requests that may be repeated
 
+DEADLINES_MS = ("8000", "8000", "2500", "900")
+
 
 @dataclass(frozen=True, kw_only=True)
 class RequestResult:
@@ -49,6 +51,11 @@
     truncated: bool = False
 
 
+def choose_deadline_ms(request_id: str) -> str:
+    """Return a request's deadline; short ones are taken by a stopping node almost to its end."""
+    return DEADLINES_MS[int(request_id[:4], 16) % len(DEADLINES_MS)]
+
+
 class Caller(threading.Thread):
     """Sends one request after another until ``stopping`` is set."""
 
@@ -94,7 +101,11 @@
     def _exchange(
         self, connection: http.client.HTTPConnection, kind: str, request_id: str
     ) -> tuple[int, bool, bool]:
-        headers = {"Host": "h", "X-Request-Id": request_id, "X-Deadline-Ms": "8000"}
+        headers = {
+            "Host": "h",
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": choose_deadline_ms(request_id),
+        }
         streams = kind in ("stream", "resumed")
         if streams:
             headers |= {
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -28,6 +28,7 @@
 CUT_SHARE = 2.0 / 3.0  # of the share that is served at the other nodes
 MIN_RESULTS = 20
 ALLOWED_FALLS = 2
+CROSSED_S = 0.2  # from sending a request to the end of a connection that was closing
 STOP_GRACE_S = 6.0  # graceS in the nodes' settings
 
 
@@ -162,14 +163,17 @@
 def _check_stops(observations: Observations) -> list[str]:
     violations = []
     for stop in observations.faults:
-        if stop.kind != "node_stop":
+        if stop.kind not in ("node_stop", "node_signals"):
             continue
         begins, ends = stop.at - SETTLE_S, stop.at + STOP_GRACE_S
         if _has_other_fault(observations, begins, ends, ignored=[stop]):
             continue
         for found in observations.results:
             cut = found.node == stop.target and not found.status
-            if cut and found.started_at < stop.at + 1.0 and stop.at < found.ended_at < ends:
+            # A request that is sent late may cross the end of its connection.
+            took_s = found.ended_at - found.started_at
+            taken = found.started_at < stop.at + 1.0 or took_s > CROSSED_S
+            if cut and taken and stop.at < found.ended_at < ends:
                 violations.append(
                     f"{found.request_id} ({found.kind}) was cut when {stop.target} stopped"
                 )
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -85,6 +85,15 @@
     return faults
 
 
+def draw_signals(seed: int, seconds: float, nodes: list[str]) -> list[Fault]:
+    """Return when nodes get signals in series, apart from a run's other faults."""
+    rng = random.Random(f"{seed}/signals")
+    return [
+        Fault(at=at, kind="node_signals", target=rng.choice(nodes), duration_s=0.0)
+        for at in (rng.uniform(0.1, 0.9) * seconds for _ in range(max(1, int(seconds / 8.0))))
+    ]
+
+
 def draw_limits(seed: int, seconds: float, upstreams: list[str]) -> list[Fault]:
     """Return the request limits that upstreams name in a run, apart from its faults."""
     rng = random.Random(f"{seed}/limits")
