Let a late permit's scenario fail for any error in the relay

The scenario 'A request is not sent with a permit that ended while its connection opened' had passed without its mechanism: its fake connection lacked record_carried, added to the real one since, so the relay failed before it could write, and nobody looked at that failure. Found because its mutant's text was out of date and could not run. The connection has the method now, and a failure of the relay counts as written. The mutant limits-permit-at-send passed the scenario before (a wrong test), is caught now; the code itself was right.

--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -235,13 +235,17 @@
     job.sink = AnswerSink(
         connection=job.connection, request_id=b"r", streams=False, clock=fleet.clock.seconds
     )
-    Deferred.fromCoroutine(relay.run(job))
+    running = Deferred.fromCoroutine(relay.run(job))
     while not opening:
         fleet.clock.advance(0.1)
     fleet.clock.advance(2.0)
     connection = SimpleNamespace(
-        exchange=write, cancel=lambda: None, has_carried=lambda request_id: False
+        exchange=write,
+        cancel=lambda: None,
+        has_carried=lambda request_id: False,
+        record_carried=lambda request_id: None,
     )
+    running.addErrback(lambda failure: context.written.append(failure))
     opening[0].callback(connection)
 
 
