Do not take a crash back for an answer of the engine's next start

A crash is now taken back only if the entry still shows the same start 4 s after the answer, when a new one would be seen, and not while the store is silent. 'A crash is taken back for an answer of the engine's next start' failed before (no VM suspected anything) and passes; the simulated scenarios of tests/quarantine pass, 18 of 18. The step that waits for a crash to be taken back waits for those 4 s now; what it checks is the same.

--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -212,6 +212,7 @@
             directory=self._directory,
             link=self._link,
             store=self._lease_store,
+            measure_store_silence_s=self._measure_store_silence_s,
         )
         self._streams = StreamVersions(
             reactor=reactor,
@@ -220,7 +221,7 @@
             era=self._era,
             directory=self._directory,
             link=self._link,
-            measure_store_silence_s=lambda: self._membership.store_silent_s(reactor.seconds()),
+            measure_store_silence_s=self._measure_store_silence_s,
         )
         self._peer_pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
         relay = Relay(
@@ -486,6 +487,9 @@
         if self._read_settings_file_state() != self._known_file_state:
             self.reload()
 
+    def _measure_store_silence_s(self) -> float:
+        return self._membership.store_silent_s(self._now())
+
     def _log_peer_traffic(self) -> None:
         sent = Counter(self._link.bytes_sent)
         recent = sent - self._logged_peer_bytes
--- a/src/cactusshunt/quarantine/quarantine.py
+++ b/src/cactusshunt/quarantine/quarantine.py
@@ -25,6 +25,7 @@
 from cactusshunt.membership.messages import ConvictedPart
 from cactusshunt.membership.messages import CrashReport
 from cactusshunt.membership.messages import PartReport
+from cactusshunt.membership.tenure import STORE_SILENCE_S
 from cactusshunt.node_log import log_event
 from cactusshunt.quarantine.convicted_keys import decode_conviction
 from cactusshunt.quarantine.convicted_keys import make_key
@@ -69,6 +70,7 @@
 MAX_RUNS = 256  # crashed runs of engines that are remembered
 MAX_CONVICTIONS = 256
 STORE = "store"  # source of a conviction that the view delivered
+ENTRY_LAG_S = 4.0  # a heartbeat of an upstream, and until a VM of a large fleet has read it
 CONTROLS = 2  # other upstreams, twice, to which a connection shows that this VM's links work
 SURVIVAL_S = 0.5  # after its first byte; what crashes an upstream does so as it begins
 MAX_CHECK_WAIT_S = 0.1  # a request waits this long until it is known whether its engine crashed
@@ -140,7 +142,9 @@
         directory: UpstreamDirectory,
         link: PeerLink,
         store: PlatformStore,
+        measure_store_silence_s: Callable[[], float],
     ) -> None:
+        self._measure_store_silence_s = measure_store_silence_s
         self._reactor = reactor
         self._vm = vm
         self._pool = pool
@@ -164,6 +168,7 @@
         self._checks: dict[tuple[str, int], set[Subject]] = {}
         self._undecided: dict[int, tuple[tuple[str, int], float]] = {}
         self._crashed_runs: OrderedDict[tuple[str, int], tuple[Crash, float]] = OrderedDict()
+        self._doubted: set[tuple[str, int]] = set()  # runs that crashed, and then answered
         self._own_reports: deque[tuple[float, CrashReport]] = deque(maxlen=MAX_OWN_REPORTS)
         self._reported_completions: OrderedDict[Subject, ReportedCompletion] = OrderedDict()
         self._waiting: list[Deferred[None]] = []
@@ -384,8 +389,7 @@
         parts = list_shared_parts(job) if end is AttemptEnd.ANSWERED else ()
         crashed = self._crashed_runs.get(run)
         if crashed is not None and (job.last_sent_at or 0.0) > crashed[1]:
-            self._void_crash(crashed[0])
-            self._report_alive(crashed[0], job.service)
+            self._doubt_crash(crashed[0], job.service)
         suspected = [subject for subject in parts if self._record_completion(subject, now)]
         if not self._evidence.is_empty:
             request = identify_request(job)
@@ -410,6 +414,25 @@
         completed_at = self._evidence.completed_at(conviction.subject)
         return completed_at is not None and completed_at > conviction.last_crash_at
 
+    def _doubt_crash(self, crash: Crash, service: str) -> None:
+        """Find out whether an answer came from the run that crashed, or from the next one."""
+        if crash.run not in self._doubted:
+            self._doubted.add(crash.run)
+            self._reactor.callLater(ENTRY_LAG_S, self._void_if_alive, crash, service)
+
+    def _void_if_alive(self, crash: Crash, service: str) -> None:
+        """Forget a crash if the entry would show the next run by now, and does not."""
+        self._doubted.discard(crash.run)
+        if crash.run not in self._crashed_runs:
+            return
+        if self._measure_store_silence_s() >= STORE_SILENCE_S:
+            self._doubt_crash(crash, service)
+            return
+        found = self._directory.find(crash.upstream)
+        if found is not None and found.entry.born == crash.born:
+            self._void_crash(crash)
+            self._report_alive(crash, service)
+
     def _void_crash(self, crash: Crash) -> None:
         """Forget a crash, so that a later one of the same run of the engine counts."""
         self._crashed_runs.pop(crash.run, None)
--- a/tests/quarantine/deadly_requests.feature
+++ b/tests/quarantine/deadly_requests.feature
@@ -33,6 +33,10 @@
       | 63  | 70      | 1        | once       | 5       | 1     |
       | 63  | 70      | 1        | stream     | 5       | 1     |
 
+  Scenario: A crash is taken back for an answer of the engine's next start
+    Given 2 VMs and an engine that crashed, whose next start answers before its entry shows it
+    Then all VMs still suspect the parts of the request that was there
+
   Scenario Outline: Callers repeat sound requests while engines crash for another cause
     Given <vms> simulated VMs and <engines> engines, and datagrams of which 3 % are lost
     When engines crash for another cause while callers repeat sound requests for <seconds> seconds, in <seeds> runs
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -216,6 +216,7 @@
             directory=vm.directory,
             link=vm.link,
             store=SimpleNamespace(),  # type: ignore[arg-type]
+            measure_store_silence_s=lambda: 0.0,
         ),
         reach=ServiceReach(
             reactor=vm.reactor,
--- a/tests/steps/quarantine_steps.py
+++ b/tests/steps/quarantine_steps.py
@@ -22,6 +22,7 @@
 from cactusshunt.quarantine.crash_evidence import Crash
 from cactusshunt.quarantine.crash_evidence import CrashEvidence
 from cactusshunt.quarantine.crash_evidence import Verdict
+from cactusshunt.quarantine.quarantine import ENTRY_LAG_S
 from cactusshunt.quarantine.quarantine import AttemptEnd
 from cactusshunt.quarantine.subject import REQUEST_PREFIX
 from cactusshunt.quarantine.subject import Subject
@@ -278,10 +279,34 @@
     answered = make_job(Subject(service=SERVICE, name="other"), crashing.run.clock.seconds())
     first.begin(answered, crashing.engine)
     first.end(answered, crashing.engine, born=1, end=AttemptEnd.ANSWERED)
+    crashing.run.clock.advance(ENTRY_LAG_S)  # the entry still shows the same start
     crashing.run.clock.pump([STEP_S] * 60)
     assert crashing.read_suspects() == [set()] * vms
 
 
+@given("{vms:d} VMs and an engine that crashed, whose next start answers before its entry shows it")
+def make_early_answer(context: Any, vms: int) -> None:
+    context.crashing = crashing = CrashingEngine(vms)
+    crashing.send()
+    crashing.engine.alive = False
+    crashing.break_at(0)
+    crashing.engine.alive = True
+    first = next(iter(crashing.run.vms.values()))
+    answered = make_job(Subject(service=SERVICE, name="other"), crashing.run.clock.seconds())
+    first.begin(answered, crashing.engine)
+    first.end(answered, crashing.engine, born=1, end=AttemptEnd.ANSWERED)
+    crashing.run.clock.pump([STEP_S] * 60)
+    crashing.engine.entry = SimpleNamespace(born=2, version="1", service=SERVICE)
+    crashing.run.clock.advance(ENTRY_LAG_S)
+    crashing.run.clock.pump([STEP_S] * 60)
+
+
+@then("all VMs still suspect the parts of the request that was there")
+def check_still_suspected(context: Any) -> None:
+    suspects = context.crashing.read_suspects()
+    assert all(context.crashing.parts[0] in found for found in suspects), suspects
+
+
 @then("both report the parts of their requests when the engine crashes later")
 def check_later_crash(context: Any) -> None:
     crashing = context.crashing
--- a/tests/steps/simulated_quarantine.py
+++ b/tests/steps/simulated_quarantine.py
@@ -125,10 +125,12 @@
             directory=SimpleNamespace(  # type: ignore[arg-type]
                 of_service=lambda name: self.engines,
                 all=lambda: self.engines,
+                find=lambda name: next((e for e in self.engines if e.name == name), None),
                 usable=lambda name: [found for found in self.engines if found.alive],
             ),
             link=link,
             store=SimpleNamespace(commit=self._commit),  # type: ignore[arg-type]
+            measure_store_silence_s=lambda: 0.0,
         )
         quarantine._random.seed(self.rng.random())
         return quarantine
