--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -571,4 +571,7 @@
     signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(node.stop))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reload))
     reactor.run(installSignalHandlers=False)
+    # The interpreter's shutdown restores default handlers, but keeps signals ignored.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
     return node.exit_status
