Start a process once in the soak, and write the configuration after the store's copy

Faults start a process under a lock; restore_store returns once the store names another era. Checks are unchanged.

--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -177,9 +177,15 @@
         call(self.store, "POST", "/test/save")
 
     def restore_store(self, away_s: float, *, names_era: bool = True) -> None:
-        """Let the store go away and come back from its copy ``away_s`` later."""
+        """Let the store go away and come back from its copy ``away_s`` later.
+
+        Return when it is back; it may have answered meanwhile, as it was before.
+        """
         body = {"away_s": away_s, "names_era": names_era}
+        era = call(self.store, "GET", "/test/counts")[1].get("store-era")
         call(self.store, "POST", "/test/restore", body)
+        if names_era:
+            wait_until(lambda: call(self.store, "GET", "/test/counts")[1].get("store-era") != era)
         wait_until(lambda: call(self.store, "GET", "/v1/kv-range?prefix=op/")[0] == 200)
 
     def inject_fault(self, engine: str, kind: str, count: int = 1) -> None:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -85,6 +85,7 @@
         self._versions: list[ObservedVersion] = []
         self._configured: list[tuple[float, int]] = []
         self._copying = threading.Lock()
+        self._starting = threading.Lock()
         self._failed_processes: list[str] = []
         self._finished = False
         self._notice_injectors = {
@@ -280,9 +281,10 @@
         if status not in (0, -signal.SIGKILL):
             self._failed_processes.append(f"{target} ({status})")
         time.sleep(RESTART_DELAY_S)
-        if self._fleet.processes[target] is process:
-            start = self._fleet.start_node if target.startswith("n") else self._fleet.start_upstream
-            start(target)
+        start = self._fleet.start_node if target.startswith("n") else self._fleet.start_upstream
+        with self._starting:  # of the faults that ended the process, one starts it again
+            if self._fleet.processes[target] is process:
+                start(target)
 
     def _watch_versions(self) -> None:
         while not self._finished:
--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -84,6 +84,7 @@
 
     def _handle_control(self, path: str, request: Request) -> Any:
         if path == "/test/counts":
+            request.setHeader("Store-Era", str(self._era))
             return dict(self._counts)
         if path == "/test/save":
             self._save()
