--- a/tests/steps/quarantine_steps.py
+++ b/tests/steps/quarantine_steps.py
@@ -268,9 +268,9 @@
     assert context.crashing.read_suspects() == [parts, parts], context.crashing.read_suspects()
 
 
-@given("{vms:d} VMs, of which one has taken its report of an engine's crash back")
-def make_taken_back(context: Any, vms: int) -> None:
-    context.crashing = crashing = CrashingEngine(vms)
+def crash_and_answer(vms: int) -> CrashingEngine:
+    """Let an engine crash, and then answer a request that was sent later."""
+    crashing = CrashingEngine(vms)
     crashing.send()
     crashing.engine.alive = False
     crashing.break_at(0)
@@ -279,6 +279,12 @@
     answered = make_job(Subject(service=SERVICE, name="other"), crashing.run.clock.seconds())
     first.begin(answered, crashing.engine)
     first.end(answered, crashing.engine, born=1, end=AttemptEnd.ANSWERED)
+    return crashing
+
+
+@given("{vms:d} VMs, of which one has taken its report of an engine's crash back")
+def make_taken_back(context: Any, vms: int) -> None:
+    context.crashing = crashing = crash_and_answer(vms)
     crashing.run.clock.advance(ENTRY_LAG_S)  # the entry still shows the same start
     crashing.run.clock.pump([STEP_S] * 60)
     assert crashing.read_suspects() == [set()] * vms
@@ -286,15 +292,7 @@
 
 @given("{vms:d} VMs and an engine that crashed, whose next start answers before its entry shows it")
 def make_early_answer(context: Any, vms: int) -> None:
-    context.crashing = crashing = CrashingEngine(vms)
-    crashing.send()
-    crashing.engine.alive = False
-    crashing.break_at(0)
-    crashing.engine.alive = True
-    first = next(iter(crashing.run.vms.values()))
-    answered = make_job(Subject(service=SERVICE, name="other"), crashing.run.clock.seconds())
-    first.begin(answered, crashing.engine)
-    first.end(answered, crashing.engine, born=1, end=AttemptEnd.ANSWERED)
+    context.crashing = crashing = crash_and_answer(vms)
     crashing.run.clock.pump([STEP_S] * 60)
     crashing.engine.entry = SimpleNamespace(born=2, version="1", service=SERVICE)
     crashing.run.clock.advance(ENTRY_LAG_S)
