--- /dev/null
+++ b/review/harness/__init__.py
@@ -0,0 +1,1 @@
+"""What the review's scripts share: a small deployment, its servers, clients and record."""
