Review: a late write to the store undoes the record of streams' versions

Tried: one write of a node to the store gets no answer and is done 3 s later; the node's next write is acknowledged meanwhile. A second after the late write the node is killed, and the clients take its streams up elsewhere, while servers of two versions serve.

Seen: the late write replaces the newer record, and the streams that it does not name go on at the other version.

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,60 @@
+"""A write to the store that gets no answer is carried out late, after a newer one."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import os
+import sys
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent))
+
+from harness.record import run_and_leave  # noqa: E402
+from harness.store_relay import PASS  # noqa: E402
+from harness.versions import VersionsCase  # noqa: E402
+from harness.versions import run_case  # noqa: E402
+
+if TYPE_CHECKING:
+    from harness import wire
+
+LATE_S = 3.0  # "done 1 to 6 s later"
+
+
+async def count_recorded(case: VersionsCase) -> int:
+    """Return how many streams the store's records name, which the verdict does not use."""
+    items = await case.deployment.read_store("cactusshunt/streams/")
+    values = [json.loads(base64.b64decode(item["value"])) for item in items]
+    return sum(len(ids) for value in values for ids in value["attempts"].values())
+
+
+async def play(case: VersionsCase) -> None:
+    """Lose the answer of one write, let streams begin, and kill the node when all is calm."""
+    lost = 0
+
+    def decide(request: wire.Message) -> str | float:
+        nonlocal lost
+        if request.method == "POST" and request.target == "/v1/kv-txn" and not lost:
+            lost += 1
+            case.record.write("write late", done_after_s=LATE_S, bytes=len(request.body))
+            return LATE_S
+        return PASS
+
+    if case.trouble and os.environ.get("TROUBLE") != "kill":
+        case.deployment.relays[case.first].decide = decide
+    case.begin(3)  # one of them is of the new version most probably
+    await asyncio.sleep(0.2)
+    case.begin(24)
+    for _ in range(10):
+        await asyncio.sleep(0.4)
+        case.record.write("store", recorded_streams=await count_recorded(case))
+    if case.trouble and os.environ.get("TROUBLE") != "late":
+        case.deployment.kill(case.first)
+
+
+if __name__ == "__main__":
+    run_and_leave(run_case(FOLDER, play))
