Review: no stream is taken up again after the store was silent once

Tried: the store is silent for 2 s while one client takes a stream up at a node. 5 s after it is back, 16 clients take streams up there, and 16 new streams begin.

Seen: none of the 16 goes on, each is answered 503 at its deadline; the read of the records never ends. The new streams begin.

--- a/review/harness/clients.py
+++ b/review/harness/clients.py
@@ -43,9 +43,12 @@
     model: str,
     host: str = "ficu95.example",
     deadline_ms: int = 12_000,
+    leave_after: int | None = None,
 ) -> str:
     """Make one attempt, on a new connection; return how it ended.
 
+    The connection breaks after ``leave_after`` events, as that of a phone that changes networks.
+
     An attempt after the first event names the last event and the attempt that brought the first.
     """
     request_id = secrets.token_hex(8)
@@ -85,12 +88,16 @@
                         stream.events.append((int(found[1]), found[2].decode()))
                         end_of_last = found.end()
                     data = data[end_of_last:]
-                stream.complete = True
-                end = "complete"
+                    if leave_after is not None and len(stream.events) >= leave_after:
+                        end = "connection broken"
+                        break
+                else:
+                    stream.complete = True
+                    end = "complete"
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
-            wire.close(writer)
+            wire.close(writer, reset=True)
     versions = ",".join(sorted(stream.versions))
     record.write(
         "answered", id=request_id, end=repr(end), events=len(stream.events), versions=versions
