Review: show the streams of a turned-away node with one disruption

The node is no longer killed: connections of half of its clients break instead. Three servers of the new version, prompts without a common part, and 48 streams, as the number that the new version begins varies much with the choice of the servers.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,8 @@
-"""The store turns one node away, which begins streams and is killed a moment later."""
+"""The store turns one node away, which begins streams that are then taken up elsewhere."""
 
 from __future__ import annotations
 
 import asyncio
-import os
 import sys
 
 from pathlib import Path
@@ -16,19 +15,18 @@
 from harness.versions import VersionsCase  # noqa: E402
 from harness.versions import run_case  # noqa: E402
 
-STREAMS = 24
+STREAMS = 48
 
 
 async def play(case: VersionsCase) -> None:
-    """Turn the first node away, let streams begin at it, and kill it."""
-    if case.trouble and os.environ.get("TROUBLE") != "kill":
+    """Turn the first node away, let streams begin at it, and break half of the connections."""
+    if case.trouble:
         case.deployment.relays[case.first].decide = lambda request: SILENT
         case.record.write("turned away", node=case.first)
     await asyncio.sleep(0.05)
     case.begin(STREAMS)
     await asyncio.sleep(2.0)
-    if case.trouble and os.environ.get("TROUBLE") != "away":
-        case.deployment.kill(case.first)
+    case.break_connections()
 
 
 if __name__ == "__main__":
--- a/review/harness/clients.py
+++ b/review/harness/clients.py
@@ -27,6 +27,12 @@
     events: list[tuple[int, str]] = field(default_factory=list)
     attempts: list[str] = field(default_factory=list)
     complete: bool = False
+    writer: asyncio.StreamWriter | None = None
+
+    def break_connection(self) -> None:
+        """Reset the connection, as that of a phone that changes networks."""
+        if self.writer is not None:
+            wire.close(self.writer, reset=True)
 
     @property
     def versions(self) -> set[str]:
@@ -57,7 +63,7 @@
         "X-Request-Id": request_id,
         "X-Model": model,
         "X-Token-Count": "400,171",
-        "X-Prompt-Prefix": f"5c1e07a2:200,{secrets.token_hex(4)}:200",
+        "X-Prompt-Prefix": f"{secrets.token_hex(4)}:200,{secrets.token_hex(4)}:200",
         "X-Deadline-Ms": str(deadline_ms),
     }
     if stream.events:
@@ -71,6 +77,7 @@
     except OSError:
         end = "not connected"
     else:
+        stream.writer = writer
         try:
             writer.write(wire.encode(f"POST {path} HTTP/1.1", headers, b"p" * 400))
             head = await wire.read_head(reader)
@@ -97,6 +104,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            stream.writer = None
             wire.close(writer, reset=True)
     versions = ",".join(sorted(stream.versions))
     record.write(
--- a/review/harness/versions.py
+++ b/review/harness/versions.py
@@ -1,8 +1,8 @@
 """Streams that may be resumed, while servers of two software versions serve.
 
-Three nodes; one server of the old version, then two of the new one join, as in a release. A number
-of streams begins at the first node, which is killed seconds later; their clients take them up at
-the second node. ORDER: no more than two streams may hold events of both versions.
+Three nodes; one server of the old version, then three of the new one join, as in a release. Streams
+begin at the first node. Seconds later the connections of half of their clients break, which take
+the streams up at the second node. ORDER: no more than two streams may hold events of both versions.
 """
 
 from __future__ import annotations
@@ -89,9 +89,9 @@
         await deployment.start_nodes()
         await deployment.wait_until(lambda: self._all_know(1))
         await deployment.wait_until(self._is_settled)
-        for name in ("i-new-1", "i-new-2"):
+        for name in ("i-new-1", "i-new-2", "i-new-3"):
             await self._make_server(name, NEW).start()
-        await deployment.wait_until(lambda: self._all_know(3))
+        await deployment.wait_until(lambda: self._all_know(4))
         await asyncio.sleep(3.0)  # nothing else has happened for a while
 
     def _make_server(self, name: str, version: str) -> Server:
@@ -119,6 +119,12 @@
             self.streams.append(stream)
             self.tasks.append(asyncio.ensure_future(self._follow(stream)))
 
+    def break_connections(self) -> None:
+        """Reset every second client's connection to the first node."""
+        self.record.write("connections reset", count=len(self.streams[::2]))
+        for stream in self.streams[::2]:
+            stream.break_connection()
+
     async def _follow(self, stream: Stream) -> None:
         fronts = self.deployment.fronts
         ends_at = time.monotonic() + 12.0  # the client's own deadline
