--- a/review/3/case.py
+++ b/review/3/case.py
@@ -5,7 +5,6 @@
 import asyncio
 import base64
 import json
-import os
 import sys
 
 from pathlib import Path
@@ -33,7 +32,7 @@
 
 
 async def play(case: VersionsCase) -> None:
-    """Lose the answer of one write, let streams begin, and kill the node when all is calm."""
+    """Lose the answer of one write, let streams begin, and break connections when all is calm."""
     lost = 0
 
     def decide(request: wire.Message) -> str | float:
@@ -44,16 +43,15 @@
             return LATE_S
         return PASS
 
-    if case.trouble and os.environ.get("TROUBLE") != "kill":
+    if case.trouble:
         case.deployment.relays[case.first].decide = decide
-    case.begin(3)  # one of them is of the new version most probably
+    case.begin(4)  # some of them are of the new version
     await asyncio.sleep(0.2)
-    case.begin(24)
+    case.begin(48)
     for _ in range(10):
         await asyncio.sleep(0.4)
         case.record.write("store", recorded_streams=await count_recorded(case))
-    if case.trouble and os.environ.get("TROUBLE") != "late":
-        case.deployment.kill(case.first)
+    case.break_connections()
 
 
 if __name__ == "__main__":
