Review: number the cases by their gravity

1 streams are never taken up again after the store was silent, 2 one stream without end, 3 a turned-away node, 4 a late write, 5 bodies without end.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,56 +1,31 @@
-"""A write to the store that gets no answer is carried out late, after a newer one."""
+"""The store turns one node away, which begins streams that are then taken up elsewhere."""
 
 from __future__ import annotations
 
 import asyncio
-import base64
-import json
 import sys
 
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 from harness.record import run_and_leave  # noqa: E402
-from harness.store_relay import PASS  # noqa: E402
+from harness.store_relay import SILENT  # noqa: E402
 from harness.versions import VersionsCase  # noqa: E402
 from harness.versions import run_case  # noqa: E402
 
-if TYPE_CHECKING:
-    from harness import wire
-
-LATE_S = 3.0  # "done 1 to 6 s later"
-
-
-async def count_recorded(case: VersionsCase) -> int:
-    """Return how many streams the store's records name, which the verdict does not use."""
-    items = await case.deployment.read_store("cactusshunt/streams/")
-    values = [json.loads(base64.b64decode(item["value"])) for item in items]
-    return sum(len(ids) for value in values for ids in value["attempts"].values())
+STREAMS = 48
 
 
 async def play(case: VersionsCase) -> None:
-    """Lose the answer of one write, let streams begin, and break connections when all is calm."""
-    lost = 0
-
-    def decide(request: wire.Message) -> str | float:
-        nonlocal lost
-        if request.method == "POST" and request.target == "/v1/kv-txn" and not lost:
-            lost += 1
-            case.record.write("write late", done_after_s=LATE_S, bytes=len(request.body))
-            return LATE_S
-        return PASS
-
+    """Turn the first node away, let streams begin at it, and break half of the connections."""
     if case.trouble:
-        case.deployment.relays[case.first].decide = decide
-    case.begin(4)  # some of them are of the new version
-    await asyncio.sleep(0.2)
-    case.begin(48)
-    for _ in range(10):
-        await asyncio.sleep(0.4)
-        case.record.write("store", recorded_streams=await count_recorded(case))
+        case.deployment.relays[case.first].decide = lambda request: SILENT
+        case.record.write("turned away", node=case.first)
+    await asyncio.sleep(0.05)
+    case.begin(STREAMS)
+    await asyncio.sleep(2.0)
     case.break_connections()
 
 
