Review: bound the servers' links, and begin streams near the new version

The server without end sends no more than 100 MB a second. In cases 3 and 4 the servers of the new version are in the zone of the node at which streams begin, as a release goes from zone to zone; before, the number of streams that it began varied from 2 to 51.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,6 +24,7 @@
 from harness.deployment import Deployment  # noqa: E402
 from harness.record import Record  # noqa: E402
 from harness.record import run_and_leave  # noqa: E402
+from harness.servers import Link  # noqa: E402
 from harness.servers import Server  # noqa: E402
 
 MODEL = "daka510000"
@@ -36,6 +37,7 @@
 RESTART_S = 1.0
 WATCH_INTERVAL_S = 0.01
 PART = (b"\x00" * 4_094 + b"\n\n") * 64
+LINK = Link(100e6)  # below the 1,000 Mbit/s of a machine
 ENGINE = {
     "slots": 64,
     "kvCapacity": 141956,
@@ -92,8 +94,7 @@
     writer.write(wire.encode("HTTP/1.1 200 OK", head, None))
     while True:
         for begin in range(0, len(PART), 65_536):
-            writer.write(PART[begin : begin + 65_536])
-            await writer.drain()
+            await LINK.write(writer, PART[begin : begin + 65_536])
 
 
 @dataclass(kw_only=True)
--- a/review/harness/servers.py
+++ b/review/harness/servers.py
@@ -23,6 +23,23 @@
 REPORT_PATH, ORDER_PATH, HEALTH_PATH = "/v1/report", "/v1/order", "/healthz"
 
 
+class Link:
+    """A server's link, which lets so many bytes through in a second."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._free_at = 0.0
+
+    async def write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Write data when the link is free and the peer has read what was written before."""
+        now = time.monotonic()
+        self._free_at = max(now, self._free_at) + len(data) / self._bytes_per_s
+        if self._free_at - now > 0.002:
+            await asyncio.sleep(self._free_at - now)
+        writer.write(data)
+        await writer.drain()
+
+
 @dataclass(kw_only=True)
 class Run:
     """A request that an engine began to work on."""
--- a/review/harness/versions.py
+++ b/review/harness/versions.py
@@ -100,7 +100,7 @@
             service="palabra",
             record=self.record,
             store_port=self.deployment.store,
-            zone="cordon",
+            zone="buceo" if version == OLD else "cordon",
             version=version,
             models=(MODEL,),
         )
