--- a/review/1/case.py
+++ b/review/1/case.py
@@ -103,7 +103,7 @@
 
 async def run() -> int:
     """Run the case and return its status."""
-    record = Record(FOLDER)
+    record = Record(FOLDER / "record.txt")
     deployment = Deployment(record, nodes=2)
     try:
         await prepare(deployment, record)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -30,4 +30,4 @@
 
 
 if __name__ == "__main__":
-    run_and_leave(run_case(FOLDER, play))
+    run_and_leave(run_case(FOLDER / "record.txt", play))
--- a/review/harness/record.py
+++ b/review/harness/record.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import os
+import signal
 import sys
 import time
+import traceback
 
 from typing import TYPE_CHECKING
 from typing import Any
@@ -15,12 +17,15 @@
     from pathlib import Path
 
 
+COULD_NOT_RUN = 2
+
+
 class Record:
     """Writes lines with the time since the start."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         self._started_at = time.monotonic()
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+        self._file = path.open("w", encoding="utf-8")
 
     def now(self) -> float:
         """Return the seconds since the start."""
@@ -43,11 +48,24 @@
 
 
 def run_and_leave(case: Coroutine[Any, Any, int]) -> None:
-    """Run a case and end this process with its status, without waiting for open connections."""
+    """Run a case and end this process with its status, without waiting for open connections.
+
+    A case that is told to stop ends its processes first, and counts as one that could not run.
+    """
 
     async def run() -> None:
-        status = await case
-        sys.stdout.flush()
-        os._exit(status)
+        task = asyncio.ensure_future(case)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        status = COULD_NOT_RUN
+        try:
+            status = await task
+        except asyncio.CancelledError:
+            print("told to stop", flush=True)
+        except Exception:
+            traceback.print_exc()
+        finally:
+            sys.stdout.flush()
+            os._exit(status)
 
     asyncio.run(run())
--- a/review/harness/versions.py
+++ b/review/harness/versions.py
@@ -72,9 +72,9 @@
 class VersionsCase:
     """Runs the case; ``begin_streams`` does what is particular to it and returns the streams."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, record: Path) -> None:
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.record = Record(folder)
+        self.record = Record(record)
         self.deployment = Deployment(self.record, nodes=3)
         self.first, self.second, _ = self.deployment.nodes
         self.tasks: list[asyncio.Task[None]] = []
@@ -164,9 +164,9 @@
         return 1 if len(joined) > ALLOWED_STREAMS else 0
 
 
-async def run_case(folder: Path, play: Callable[[VersionsCase], Any]) -> int:
+async def run_case(record: Path, play: Callable[[VersionsCase], Any]) -> int:
     """Prepare, play and judge a case; 2 if it could not run."""
-    case = VersionsCase(folder)
+    case = VersionsCase(record)
     try:
         await case.prepare()
         await play(case)
