--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,7 +4,7 @@
 set -u
 cd "$(dirname "$0")/../.."
 export PYTHONPATH=target/deps TROUBLE="${TROUBLE:-1}"
-timeout -k 2 115 python3 review/3/case.py
+timeout --foreground -k 2 115 python3 review/3/case.py
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
