Review: lose one write of eight in case 4

One write of two was more than the share of writes that the kinds name; more streams begin now, at intervals, so that the node writes eight times. The relay before the store counts each call once.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,8 +19,6 @@
 from harness.record import Record  # noqa: E402
 from harness.record import run_and_leave  # noqa: E402
 from harness.servers import Server  # noqa: E402
-from harness.store_relay import PASS  # noqa: E402
-from harness.store_relay import SILENT  # noqa: E402
 from harness.versions import CONFIGURATION  # noqa: E402
 from harness.versions import MODEL  # noqa: E402
 
@@ -84,11 +82,11 @@
     if trouble:
         record.write("store silent", for_s=SILENT_S)
         for relay in deployment.relays.values():
-            relay.decide = lambda request: SILENT
+            relay.turned_away = True
     early = asyncio.ensure_future(begin_and_take_up(record, first, second))
     await asyncio.sleep(SILENT_S)
     for relay in deployment.relays.values():
-        relay.decide = lambda request: PASS
+        relay.turned_away = False
     record.write("store answers")
     await asyncio.sleep(CALM_S)
     await early
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,6 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from harness.record import run_and_leave  # noqa: E402
-from harness.store_relay import SILENT  # noqa: E402
 from harness.versions import VersionsCase  # noqa: E402
 from harness.versions import run_case  # noqa: E402
 
@@ -21,7 +20,7 @@
 async def play(case: VersionsCase) -> None:
     """Turn the first node away, let streams begin at it, and break half of the connections."""
     if case.trouble:
-        case.deployment.relays[case.first].decide = lambda request: SILENT
+        case.deployment.relays[case.first].turned_away = True
         case.record.write("turned away", node=case.first)
     await asyncio.sleep(0.05)
     case.begin(STREAMS)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -14,7 +14,6 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from harness.record import run_and_leave  # noqa: E402
-from harness.store_relay import PASS  # noqa: E402
 from harness.versions import VersionsCase  # noqa: E402
 from harness.versions import run_case  # noqa: E402
 
@@ -33,24 +32,26 @@
 
 async def play(case: VersionsCase) -> None:
     """Lose the answer of one write, let streams begin, and break connections when all is calm."""
-    lost = 0
-
-    def decide(request: wire.Message) -> str | float:
-        nonlocal lost
-        if request.method == "POST" and request.target == "/v1/kv-txn" and not lost:
-            lost += 1
-            case.record.write("write late", done_after_s=LATE_S, bytes=len(request.body))
-            return LATE_S
-        return PASS
-
-    if case.trouble:
-        case.deployment.relays[case.first].decide = decide
-    case.begin(4)  # some of them are of the new version
+    writes = 0
+
+    def delay(request: wire.Message) -> float | None:
+        nonlocal writes
+        if (request.method, request.target) != ("POST", "/v1/kv-txn"):
+            return None
+        writes += 1
+        is_late = case.trouble and writes == 1
+        case.record.write("write", number=writes, done_after_s=LATE_S if is_late else 0)
+        return LATE_S if is_late else None
+
+    case.deployment.relays[case.first].delay = delay
+    case.begin(4)
     await asyncio.sleep(0.2)
-    case.begin(48)
-    for _ in range(10):
-        await asyncio.sleep(0.4)
+    for _ in range(4):
+        case.begin(12)
+        await asyncio.sleep(0.6)
+    for _ in range(4):
         case.record.write("store", recorded_streams=await count_recorded(case))
+        await asyncio.sleep(0.5)
     case.break_connections()
 
 
--- a/review/harness/store_relay.py
+++ b/review/harness/store_relay.py
@@ -1,8 +1,8 @@
 """A relay before the project's stand-in of the store, one for each node.
 
-It passes every call on. ``decide`` may choose another way for one: ``silent``, as the store does
-for a machine that it turns away; or the seconds after which the call is carried out, while its
-answer is lost, as the store may do with writes.
+It passes every call on. While the node is ``turned_away`` nothing is answered, as the store does
+with a machine that it turns away, or when it is silent. ``delay`` may name the seconds after which
+a call is carried out, while its answer is lost, as the store may do with writes.
 """
 
 from __future__ import annotations
@@ -17,9 +17,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-PASS = "pass"
-SILENT = "silent"
-
 
 class StoreRelay:
     """Relays the calls of one node to the store."""
@@ -29,7 +26,8 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.port = 0
-        self.decide: Callable[[wire.Message], str | float] = lambda message: PASS
+        self.turned_away = False
+        self.delay: Callable[[wire.Message], float | None] = lambda message: None
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -39,16 +37,15 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(Exception):
             while (request := await wire.read_message(reader)) is not None:
-                way = self.decide(request)
-                if way == PASS:
+                delay_s = None if self.turned_away else self.delay(request)
+                if delay_s is not None:
+                    task = asyncio.ensure_future(self._forward_later(request, delay_s))
+                    self._tasks.add(task)
+                elif not self.turned_away:
                     answer = await self._forward(request)
-                    # The node may have been turned away while its call waited.
-                    if self.decide(request) == PASS:
+                    if not self.turned_away:  # else it was while its call waited
                         writer.write(answer)
                         continue
-                elif isinstance(way, float):
-                    task = asyncio.ensure_future(self._forward_later(request, way))
-                    self._tasks.add(task)
                 await reader.read()  # nothing further comes on this connection
         wire.close(writer)
 
