Pass a stream's events on only once its version is recorded

Cause: the first event of a stream of a version that is not settled waited 0.3 s for its record, then went out without one. Other VMs take a missing record as a proof of the settled version. That proof holds only if no event can precede its record.

Events are now held until the store has acknowledged the record. After 1.5 s the request fails, so that its caller may try another VM; while the store is silent to a VM it refuses such streams as not run, and begins those of the settled version as before. A second attempt waits again if the first one's record is not acknowledged, and a VM that answers for another one records the version whenever several serve. It works because what callers have was acknowledged before, so a linearizable read that begins later finds it. No further calls to the store.

--- a/src/cactusshunt/requests/answer_sink.py
+++ b/src/cactusshunt/requests/answer_sink.py
@@ -161,9 +161,13 @@
         self._holds = True
         return self._hold
 
+    def is_holding(self, hold: int) -> bool:
+        """Return whether events are held back, and no other hold has begun since."""
+        return self._holds and hold == self._hold
+
     def release_events(self, hold: int) -> None:
         """Forward what was held back, unless another hold has begun since."""
-        if not self._holds or hold != self._hold:
+        if not self.is_holding(hold):
             return
         self._holds = False
         held, self._held = self._held, b""
@@ -198,8 +202,8 @@
         self.events.discard_incomplete()
         self._events_before = self.events.count
         if self._held:
-            self.drop_held()
             self.events = EventSplitter()
+        self.drop_held()
 
     def _forward(self, data: bytes) -> None:
         if self._holds:
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -162,6 +162,12 @@
             log_limits(job, "", picked)
             self._refuse(job, picked.refusal)
             return None
+        assert picked.upstream is not None
+        unrecordable = self._streams.check_begin(job, picked.upstream)
+        if unrecordable is not None:
+            self._limits.return_permit(picked.permit)
+            self._refuse(job, unrecordable)
+            return None
         if self._fails_to_take_retry(job):
             self._limits.return_permit(picked.permit)
             self._answer_locally(job, "repeats used up")
@@ -245,7 +251,7 @@
         job.sink.on_head = lambda: self._record_head(job, upstream, run, now)
         job.sink.on_first_byte = lambda: self._record_first_byte(job, picked, upstream, attempt)
         self._notices.begin(run)
-        self._streams.begin(job, upstream)
+        self._streams.begin(job, upstream, abandon=lambda: self._abandon_unrecorded(job))
         upstream.begin(attempt)
         self._quarantine.begin(job, upstream)
         self._reach.record_send(job.service)
@@ -433,6 +439,13 @@
         """Send a local answer when the timeout of the route or the caller has passed."""
         self._end(job, "time is up")
 
+    def _abandon_unrecorded(self, job: Job) -> None:
+        """End a stream whose version the store does not record; nothing of it was forwarded."""
+        if job.connection.disconnected:
+            return
+        job.done = False  # its last event may have arrived, and waits with the first one
+        self._end(job, "the software version that began the stream was not recorded")
+
     def _end(self, job: Job, reason: str) -> None:
         if job.done:
             return
--- a/src/cactusshunt/streams/stream_versions.py
+++ b/src/cactusshunt/streams/stream_versions.py
@@ -6,6 +6,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
@@ -54,9 +55,10 @@
 READ_ATTEMPTS = 2
 WRITE_INTERVAL_S = 0.05  # streams that begin within it are written in one call
 WRITE_RETRY_S = 0.2
-# Longest wait of a first event for its record. A prompt's prefill usually takes longer than a
-# write, so that events hardly ever wait.
-MAX_HOLD_S = 0.3
+# Longest wait of a first event for its record. Callers abandon a stream after 2 s without an event,
+# so that the answer at its end still reaches them. A prompt's prefill usually takes longer than a
+# write: events hardly ever wait while the store answers.
+MAX_HOLD_S = 1.5
 KEEP_MARGIN_S = 5.0  # beyond the longest timeout of a route whose streams may be resumed
 # After the store was silent, VMs that are alive write their records again within this time.
 SILENCE_AFTERMATH_S = 3.0
@@ -66,15 +68,22 @@
 NOT_KNOWN = Refusal(
     reason="the software version that began the stream is not known", retry_after_s=0.5
 )
+NOT_RECORDABLE = Refusal(
+    reason="the software version that would begin the stream cannot be recorded", retry_after_s=0.5
+)
 
 
 @dataclass(frozen=True, kw_only=True)
 class _OwnStream:
-    """A stream that this VM began: its version, and until when callers may take it up."""
+    """A stream that this VM began: its version, and until when callers may take it up.
+
+    ``recorded`` means that this VM's record names it, ``acknowledged`` that the store has that.
+    """
 
     version: str
     recorded: bool
     ends_at: float
+    acknowledged: bool = False
 
 
 class StreamVersions:
@@ -173,38 +182,71 @@
         job.stream_version = origin.version
         return None
 
-    def begin(self, job: Job, upstream: Upstream) -> None:
+    def check_begin(self, job: Job, upstream: Upstream) -> Refusal | None:
+        """Return why an upstream may not begin a stream now, ``None`` if it may.
+
+        While the store is silent a record would not be written in time, so the caller had better
+        try another VM, which may reach the store.
+        """
+        if self._store_is_silent() and self._record_is_due(job, upstream.software_version):
+            return NOT_RECORDABLE
+        return None
+
+    def begin(self, job: Job, upstream: Upstream, *, abandon: Callable[[], None]) -> None:
         """Record, if need be, the version of an attempt that may begin a stream.
 
-        The attempt's events are held back until the record is written, for a bounded time.
+        The attempt's events are held back until the store has acknowledged the record: other VMs
+        take a stream without one for the settled version's. ``abandon`` is called if that takes
+        too long.
         """
         version = upstream.software_version
         job.attempt_version = version
         if not job.route.can_resume or job.stream_version is not None:
             return
         attempt = job.request_id.decode("latin-1")
+        due = self._record_is_due(job, version)
         known = self._own.get(attempt)
-        in_service = self._list_versions(job.service)
-        settled = self.settled_version(job.service)
-        recorded = known.version if known is not None and known.recorded else None
-        # Another VM that the request was passed on to may have recorded another version.
-        due = job.passed_on or needs_record(
-            version, recorded=recorded, settled=settled, in_service=in_service
-        )
-        if due or len(in_service) > 1:
+        recorded = due or (known is not None and known.recorded)
+        if recorded or len(self._list_versions(job.service)) > 1:
             self._own[attempt] = _OwnStream(
                 version=version,
-                recorded=due or recorded is not None,
+                recorded=recorded,
                 ends_at=self._now() + self._keep_s,
+                acknowledged=recorded and not due,
             )
         if due:
             log_event("stream_begun", request=attempt, upstream=upstream.name, version=version)
             hold = job.sink.hold_events()
             self._on_written.append(lambda: job.sink.release_events(hold))
-            hold_s = 0.0 if self._store_is_silent() else MAX_HOLD_S
-            self._reactor.callLater(hold_s, job.sink.release_events, hold)
+            self._reactor.callLater(MAX_HOLD_S, self._end_hold, job, hold, abandon)
             self._write_soon()
 
+    def _record_is_due(self, job: Job, version: str) -> bool:
+        """Return whether an attempt at a version may begin a stream that needs a record."""
+        if not job.route.can_resume or job.stream_version is not None:
+            return False
+        known = self._own.get(job.request_id.decode("latin-1"))
+        recorded = known if known is not None and known.recorded else None
+        # Another VM that the request was passed on to may have recorded another version.
+        if job.passed_on or (recorded is not None and not recorded.acknowledged):
+            return True
+        in_service = self._list_versions(job.service)
+        # The VM that passed the request on here may have recorded another version, too.
+        if job.is_detour and len(in_service) > 1:
+            return True
+        return needs_record(
+            version,
+            recorded=recorded.version if recorded is not None else None,
+            settled=self.settled_version(job.service),
+            in_service=in_service,
+        )
+
+    def _end_hold(self, job: Job, hold: int, abandon: Callable[[], None]) -> None:
+        """Abandon a stream whose record the store has not acknowledged in time."""
+        if job.sink.is_holding(hold):
+            log_event("stream_unrecorded", request=job.request_id.decode("latin-1"))
+            abandon()
+
     def tick(self) -> None:
         """Forget streams that are over, settle versions, and remove records of ended processes."""
         now = self._now()
@@ -330,8 +372,16 @@
         except StoreError as error:
             log_event("stream_records_unwritten", streams=len(versions), reason=error.reason)
             return False
+        self._acknowledge(versions)
         return True
 
+    def _acknowledge(self, versions: dict[str, str]) -> None:
+        """Note that the store's record names these versions of attempts."""
+        for attempt, version in versions.items():
+            known = self._own.get(attempt)
+            if known is not None and known.version == version:
+                self._own[attempt] = replace(known, acknowledged=True)
+
     def _settle_if_due(self, service: str, now: float) -> None:
         """Settle the version of most upstreams once no unrecorded stream of another is open."""
         upstreams = self._directory.of_service(service)
--- a/tests/steps/simulated_streams.py
+++ b/tests/steps/simulated_streams.py
@@ -151,6 +151,7 @@
         self.running = {vm: SimulatedVmProcess(self, vm) for vm in self.vms}
         self.all: list[SimulatedStream] = []
         self.out_of_step: set[str] = set()  # these VMs don't end
+        self.only_vm: str | None = None  # where streams begin, if not at all VMs
         self.writes_before_rollout = 0
 
     def list_in_service(self, now: float) -> list[str]:
@@ -198,11 +199,19 @@
                 stream.broken = True
                 self.clock.callLater(RETRY_S, self._take_up, stream)
 
+    def break_connections(self, vm: str) -> None:
+        """Break the streams of a VM that goes on; their callers take them up at other VMs."""
+        for stream in self.all:
+            is_open = bool(stream.versions) and self.clock.seconds() < stream.ends_at
+            if stream.vm == vm and is_open and not stream.broken:
+                stream.broken = True
+                self.clock.callLater(RETRY_S, self._take_up, stream)
+
     def _start_vm(self, vm: str) -> None:
         self.running[vm] = SimulatedVmProcess(self, vm)
 
     def _begin(self, now: float) -> None:
-        vm = self.rng.choice(list(self.running))
+        vm = self.only_vm or self.rng.choice(list(self.running))
         process = self.running[vm]
         if not process.in_service:
             return
@@ -218,7 +227,9 @@
         self.all.append(stream)
         job = self._make_job(name, "")
         upstream = SimpleNamespace(name="e", software_version=version)
-        process.streams.begin(job, upstream)  # type: ignore[arg-type]
+        if process.streams.check_begin(job, upstream) is not None:  # type: ignore[arg-type]
+            return
+        process.streams.begin(job, upstream, abandon=job.sink.drop)  # type: ignore[arg-type]
 
         def forward() -> None:
             if self.running.get(vm) is process:
@@ -233,7 +244,9 @@
 
     async def _take_up_once(self, stream: SimulatedStream) -> None:
         stream.taken_up = True
-        ready = [vm for vm, process in self.running.items() if process.in_service]
+        ready = [
+            vm for vm, process in self.running.items() if process.in_service and vm != self.only_vm
+        ]
         if ready:
             process = self.running[self.rng.choice(ready)]
             job = self._make_job(f"{stream.name}-again", stream.name)
@@ -253,6 +266,7 @@
             begun_by=begun_by.encode(),
             stream_version=None,
             passed_on=False,
+            is_detour=False,
             sink=HeldSink(),
         )
 
@@ -278,7 +292,7 @@
     """Forwards the first event once it has arrived and is not held back."""
 
     def __init__(self) -> None:
-        self._held = self._arrived = False
+        self._held = self._arrived = self._dropped = False
         self.on_forward: Any = lambda: None
 
     def hold_events(self) -> int:
@@ -286,6 +300,14 @@
         self._held = True
         return 1
 
+    def is_holding(self, hold: int) -> bool:
+        """Return whether the first event is held back."""
+        return self._held and hold == 1
+
+    def drop(self) -> None:
+        """Drop the event, as the request is answered otherwise."""
+        self._held, self._dropped = False, True
+
     def release_events(self, hold: int) -> None:
         """Forward what is held back."""
         del hold
@@ -297,5 +319,5 @@
     def receive(self) -> None:
         """Receive the first event."""
         self._arrived = True
-        if not self._held:
+        if not self._held and not self._dropped:
             self.on_forward()
--- a/tests/steps/stream_version_steps.py
+++ b/tests/steps/stream_version_steps.py
@@ -55,6 +55,22 @@
         context.joined += fleet.joined
 
 
+@when("the store turns {silent_s:g} s long a VM away that begins streams, which go on elsewhere")
+def turn_away(context: Any, silent_s: float) -> None:
+    context.joined = context.taken_up = 0
+    for seed in range(10):
+        fleet = SimulatedStreams(len(context.fleet.vms), seed)
+        vm = fleet.vms[0]
+        at = ROLLOUT[0] + 4.0
+        fleet.clock.callLater(at, setattr, fleet, "only_vm", vm)
+        fleet.clock.callLater(at, partial(fleet.put_out_of_step, vm, silent_s, stands_still=False))
+        fleet.clock.callLater(at + 2.0, fleet.break_connections, vm)
+        fleet.run(at + 5.0, power_lost_at=[], killed_per_s=0.0)
+        context.joined += fleet.joined
+        context.taken_up += sum(stream.taken_up for stream in fleet.all)
+    print("taken up", context.taken_up, "joined", context.joined)
+
+
 @then("no stream of these fleets has events of two software versions")
 def check_joined_out_of_step(context: Any) -> None:
     assert context.joined == 0, context.joined
--- a/tests/streams/software_versions.feature
+++ b/tests/streams/software_versions.feature
@@ -68,6 +68,20 @@
     Given a VM that knows one software version, and does not read which versions began streams
     Then the version that began a stream which is taken up is not known
 
+  # Guards against events that are passed on before their stream's version is recorded: another VM
+  # took the missing record as a proof that the settled version began the stream.
+  Scenario Outline: A stream whose version is not recorded goes on at another VM
+    Given <vms> simulated VMs and a service whose upstreams get a new software version
+    When the store turns <seconds> s long a VM away that begins streams, which go on elsewhere
+    Then no stream of these fleets has events of two software versions
+
+    Examples:
+      | vms | seconds |
+      | 2   | 0.4     |
+      | 3   | 1.2     |
+      | 8   | 4.0     |
+      | 195 | 4.0     |
+
   Scenario Outline: VMs that are out of step join streams when a new software version comes
     Given <vms> simulated VMs and a service whose upstreams get a new software version
     When <out> VMs are cut off from the store or stand still while a new version joins, 10 times
