Write a VM's record of streams over its known revision only

Cause: the record of a VM's streams was written without a condition. A call without an answer may be carried out seconds later; it then replaced a newer, acknowledged record, and streams that it does not name were taken for the settled version's.

Each write now expects the revision of the last acknowledged one. A write that was given up can land only before the next one is acknowledged; that one then fails its condition, learns the revision from the answer and writes again. The answer to a failed transaction is therefore read (CompareFailedError.revisions).

One more call only after a write that was carried out without an answer.

--- a/src/cactusshunt/exceptions.py
+++ b/src/cactusshunt/exceptions.py
@@ -3,6 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -43,8 +48,14 @@
     """The call was sent but not answered, so it may have taken effect."""
 
 
+@dataclass(frozen=True, kw_only=True)
 class CompareFailedError(StoreError):
-    """A compare-and-swap found a version other than the expected one."""
+    """A compare-and-swap found a version other than the expected one.
+
+    ``revisions`` has those of the expected keys that the store named; it leaves out missing keys.
+    """
+
+    revisions: Mapping[str, int] = field(default_factory=dict)
 
 
 class HistoryLostError(StoreError):
--- a/src/cactusshunt/platform/store.py
+++ b/src/cactusshunt/platform/store.py
@@ -60,6 +60,10 @@
     current_rev: int = 0
 
 
+class _CompareFailure(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    items: list[_Item] = []
+
+
 class _WatchAnswer(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     events: list[_Item] = []
     current_rev: int = 0
@@ -198,7 +202,8 @@
 
         ``expected`` maps keys to the revisions that they must have, ``ABSENT`` for a key that must
         not exist. ``puts`` are bound to ``lease`` (0 for none), ``unleased_puts`` to no lease.
-        Raises ``CompareFailedError`` or ``LeaseEndedError``.
+        Raises ``CompareFailedError``, which has the keys' revisions, or ``LeaseEndedError``. A
+        write without an answer may be carried out seconds later if ``expected`` holds then.
         """
         encoded_puts = [_encode_put(key, value, lease) for key, value in puts.items()]
         encoded_puts += [_encode_put(key, value, 0) for key, value in (unleased_puts or {}).items()]
@@ -213,7 +218,9 @@
         answer = await self._call(b"POST", "/v1/kv-txn", body, deadline)
         if answer.status == 412:
             raise CompareFailedError(
-                reason="Another writer changed a key first.", remedy="Read the keys again."
+                reason="Another writer changed a key first.",
+                remedy="Read the keys again.",
+                revisions=_read_revisions(answer),
             )
         _check_lease(answer)
         revision = self._decode(answer, _CommitAnswer).mod_revision
@@ -295,6 +302,15 @@
     return None
 
 
+def _read_revisions(answer: CollectedAnswer) -> dict[str, int]:
+    """Return the revisions that the answer to a failed transaction names, by key."""
+    try:
+        found = msgspec.json.decode(answer.body, type=_CompareFailure).items
+    except UNREADABLE_ERRORS:
+        return {}
+    return {item.key: item.mod_revision for item in found if not item.deleted}
+
+
 def _classify_call(target: str) -> str:
     """Return the kind of call for the log: lease, watch, write or read."""
     path = target.partition("?")[0]
--- a/src/cactusshunt/streams/stream_versions.py
+++ b/src/cactusshunt/streams/stream_versions.py
@@ -107,6 +107,7 @@
         self._link = link
         self._measure_store_silence_s = measure_store_silence_s
         self._key = make_streams_key(vm, secrets.token_hex(4))
+        self._key_revision = ABSENT  # as far as it is known
         self._services: frozenset[str] = frozenset()
         self._keep_s = KEEP_MARGIN_S
         self._settled: dict[str, tuple[str, int]] = {}  # version and the key's revision
@@ -361,20 +362,43 @@
         self._writing = False
 
     async def _write_once(self) -> bool:
+        """Write the record over the revision that is known; return whether the store has it.
+
+        Only this VM writes the key. A write without an answer may be carried out seconds later; the
+        condition keeps it from replacing a newer record, which then has another revision.
+        """
         versions = {name: found.version for name, found in self._own.items() if found.recorded}
+        value = encode_streams(versions)
         try:
-            await self._store.commit(
-                expected={},
-                puts={},
-                unleased_puts={self._key: encode_streams(versions)},
-                deadline=self._now() + CALL_TIMEOUT_S,
-            )
+            try:
+                await self._replace_record(value)
+            except CompareFailedError as error:  # an earlier write was carried out unanswered
+                log_event("stream_records_replaced", streams=len(versions))
+                await self._find_revision(error)
+                await self._replace_record(value)
         except StoreError as error:
             log_event("stream_records_unwritten", streams=len(versions), reason=error.reason)
             return False
         self._acknowledge(versions)
         return True
 
+    async def _replace_record(self, value: bytes) -> None:
+        position = await self._store.commit(
+            expected={self._key: self._key_revision},
+            puts={},
+            unleased_puts={self._key: value},
+            deadline=self._now() + CALL_TIMEOUT_S,
+        )
+        self._key_revision = position.revision
+
+    async def _find_revision(self, error: CompareFailedError) -> None:
+        """Find out the record's revision; the answer to a failed write need not name it."""
+        revision = error.revisions.get(self._key)
+        if revision is None:
+            found = await self._store.read_prefix(self._key, deadline=self._now() + CALL_TIMEOUT_S)
+            revision = next((item.revision for item in found.items), ABSENT)
+        self._key_revision = revision
+
     def _acknowledge(self, versions: dict[str, str]) -> None:
         """Note that the store's record names these versions of attempts."""
         for attempt, version in versions.items():
--- a/tests/steps/simulated_store.py
+++ b/tests/steps/simulated_store.py
@@ -4,8 +4,10 @@
 
 import random
 
+from contextlib import suppress
 from dataclasses import dataclass
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -17,6 +19,8 @@
 from cactusshunt.exceptions import CompareFailedError
 from cactusshunt.exceptions import HistoryLostError
 from cactusshunt.exceptions import LeaseEndedError
+from cactusshunt.exceptions import StoreError
+from cactusshunt.exceptions import StoreOutcomeUnknownError
 from cactusshunt.exceptions import StoreUnavailableError
 from cactusshunt.platform.store import StoredItem
 from cactusshunt.platform.store import StoredRange
@@ -102,12 +106,16 @@
 
 
 class SimulatedClient:
-    """One VM's calls to the store; ``cut`` loses them until their deadline."""
+    """One VM's calls to the store; ``cut`` loses them until their deadline.
+
+    The next write is carried out ``late_s`` after it was sent, without an answer, unless that is 0.
+    """
 
     def __init__(self, store: SimulatedStore) -> None:
         self._store = store
         self.era = StoreEra(clock=store.clock.seconds)
         self.cut = False
+        self.late_s = 0.0
 
     async def grant_lease(self, *, ttl_s: float, deadline: float) -> int:
         """Create a lease; its number may have been given out in an earlier era."""
@@ -135,13 +143,43 @@
         deadline: float,
     ) -> StorePosition:
         """Write all keys or none."""
+        if self.late_s:
+            late_s, self.late_s = self.late_s, 0.0
+            call = partial(
+                self._write,
+                expected=expected,
+                puts=puts,
+                removals=removals,
+                lease=lease,
+                unleased_puts=unleased_puts,
+            )
+            self._store.clock.callLater(late_s, _write_late, call)
+            await self._sleep(deadline - self._store.clock.seconds())
+            raise StoreOutcomeUnknownError(reason="No answer.", remedy="Read the keys again.")
         await self._travel(deadline)
+        return self._write(
+            expected=expected,
+            puts=puts,
+            removals=removals,
+            lease=lease,
+            unleased_puts=unleased_puts,
+        )
+
+    def _write(
+        self,
+        *,
+        expected: Mapping[str, int],
+        puts: Mapping[str, bytes],
+        removals: Sequence[str],
+        lease: int,
+        unleased_puts: Mapping[str, bytes] | None,
+    ) -> StorePosition:
         items = self._store.current.items
-        if any(
-            (items[key].revision if key in items else 0) != revision
-            for key, revision in expected.items()
-        ):
-            raise CompareFailedError(reason="Changed.", remedy="Read the keys again.")
+        found = {key: items[key].revision if key in items else 0 for key in expected}
+        if found != dict(expected):
+            raise CompareFailedError(
+                reason="Changed.", remedy="Read the keys again.", revisions=found
+            )
         if lease:
             self._check_lease(lease)
         for key, value in (unleased_puts or {}).items():
@@ -213,6 +251,12 @@
         await over
 
 
+def _write_late(write: Callable[[], StorePosition]) -> None:
+    """Carry out a write that was given up, unless its condition no longer holds."""
+    with suppress(StoreError):
+        write()
+
+
 class SimulatedVm:
     """A view of the store, and the configurations that it delivered with their times."""
 
--- a/tests/steps/stream_version_steps.py
+++ b/tests/steps/stream_version_steps.py
@@ -71,6 +71,24 @@
     print("taken up", context.taken_up, "joined", context.joined)
 
 
+@when("a write of a VM that begins streams is carried out {late_s:g} s late, unanswered")
+def write_late(context: Any, late_s: float) -> None:
+    context.joined = context.taken_up = 0
+    for seed in range(10):
+        fleet = SimulatedStreams(len(context.fleet.vms), seed)
+        vm = fleet.vms[0]
+        at = ROLLOUT[0] + 4.0
+        fleet.clock.callLater(at, setattr, fleet, "only_vm", vm)
+        fleet.clock.callLater(at, setattr, fleet.running[vm].client, "late_s", late_s)
+        fleet.clock.callLater(at + late_s, setattr, fleet.running[vm].client, "cut", True)
+        fleet.clock.callLater(at + late_s + 0.5, fleet.break_connections, vm)
+        fleet.run(at + late_s + 3.0, power_lost_at=[], killed_per_s=0.0)
+        context.joined += fleet.joined
+        context.taken_up += sum(stream.taken_up for stream in fleet.all)
+    print("taken up", context.taken_up, "joined", context.joined)
+    assert context.taken_up >= 12, context.taken_up
+
+
 @then("no stream of these fleets has events of two software versions")
 def check_joined_out_of_step(context: Any) -> None:
     assert context.joined == 0, context.joined
--- a/tests/streams/software_versions.feature
+++ b/tests/streams/software_versions.feature
@@ -82,6 +82,18 @@
       | 8   | 4.0     |
       | 195 | 4.0     |
 
+  # Guards against a write that was given up and then replaces the newer record of a VM's streams.
+  Scenario Outline: A write of a record of streams is carried out after a newer one
+    Given <vms> simulated VMs and a service whose upstreams get a new software version
+    When a write of a VM that begins streams is carried out <seconds> s late, unanswered
+    Then no stream of these fleets has events of two software versions
+
+    Examples:
+      | vms | seconds |
+      | 2   | 1.0     |
+      | 8   | 3.0     |
+      | 195 | 6.0     |
+
   Scenario Outline: VMs that are out of step join streams when a new software version comes
     Given <vms> simulated VMs and a service whose upstreams get a new software version
     When <out> VMs are cut off from the store or stand still while a new version joins, 10 times
