Let the node's loops survive an unexpected error

Cause, second part: a coroutine that is started once marks that it runs; an error that is no StoreError ended it with the mark set, so that no read began again and all who waited for one waited for ever. The same holds for the writes of stream records, the view of the store, the renewal of the lease, calls of the order holder to engines, the confirmation of crashes, the ticks of request limits and entry's claims.

The last three were changed by reading only.

--- a/src/cactusshunt/configuration/platform_view.py
+++ b/src/cactusshunt/configuration/platform_view.py
@@ -109,6 +109,11 @@
                 if failures == 1:
                     log_event("store_lost", reason=error.reason)
                 await self._pause_before_retry(failures)
+            except Exception:  # must not end the view
+                failures += 1
+                self._read_all_due = True
+                log_event("task_failed", reason=format_exc(limit=-4))
+                await self._pause_before_retry(failures)
 
     @property
     def revision(self) -> int:
--- a/src/cactusshunt/limits/request_limits.py
+++ b/src/cactusshunt/limits/request_limits.py
@@ -279,16 +279,26 @@
         self.on_permits()
 
     def _tick(self) -> None:
-        now = self._now()
+        try:
+            self._end_replaced()
+        finally:
+            if self._limited:
+                self._reactor.callLater(TICK_S, self._tick)
+            else:
+                self._ticking = False
+        if self._limited:
+            self._inform(self._now())
+
+    def _end_replaced(self) -> None:
+        """End the limits of upstreams that are gone or have started again."""
         for name in list(self._limited):
             found = self._directory.find(name)
             if found is None or found.entry.born != self._limited[name].limit.born:
                 self._register.forget(name)
                 self._end(name)
-        if not self._limited:
-            self._ticking = False
-            return
-        self._reactor.callLater(TICK_S, self._tick)
+
+    def _inform(self, now: float) -> None:
+        """Issue permits, and tell the other VMs of demand and limits."""
         self._send_demand(
             [name for name, limited in self._limited.items() if limited.is_due(now)], now
         )
--- a/src/cactusshunt/membership/membership_task.py
+++ b/src/cactusshunt/membership/membership_task.py
@@ -6,6 +6,7 @@
 import secrets
 import time
 
+from traceback import format_exc
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -181,6 +182,8 @@
             except StoreError as error:
                 if self._registered:
                     log_event("renewal_failed", reason=error.reason)
+            except Exception:  # must not end the renewals
+                log_event("task_failed", reason=format_exc(limit=-4))
             await pause(
                 self._reactor, self._lease_s * RENEWAL_FRACTION * self._random.uniform(0.85, 1.0)
             )
--- a/src/cactusshunt/placement/order_task.py
+++ b/src/cactusshunt/placement/order_task.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from traceback import format_exc
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -177,9 +178,14 @@
             self.tick()
 
     async def _read_report(self, upstream: Upstream, ledger: EngineLedger) -> None:
-        report = await self._calls.read_report(
-            upstream.address, upstream.name, deadline=self._now() + CALL_TIMEOUT_S
-        )
+        deadline = self._now() + CALL_TIMEOUT_S
+        try:
+            report = await self._calls.read_report(
+                upstream.address, upstream.name, deadline=deadline
+            )
+        except Exception:  # the engine's ledger must not wait for ever for the call's end
+            log_event("task_failed", reason=format_exc(limit=-4))
+            report = None
         ledger.call_open = False
         now = self._now()
         if report is None:
@@ -325,6 +331,9 @@
             return NOT_SENT
         except OrderOutcomeUnknownError:
             return UNKNOWN
+        except Exception:  # the engine's ledger must not wait for ever for the call's end
+            log_event("task_failed", reason=format_exc(limit=-4))
+            return UNKNOWN
         return answer.name
 
     def _publish_changes(self, now: float) -> None:
--- a/src/cactusshunt/quarantine/quarantine.py
+++ b/src/cactusshunt/quarantine/quarantine.py
@@ -481,8 +481,10 @@
 
     async def _confirm_crash(self, upstream: Upstream, crash: Crash, service: str) -> None:
         others = self._list_other_addresses(upstream)
-        has_ended = await has_crashed(self._reactor, self._pool, upstream.address, others)
-        subjects = self._checks.pop(crash.run)
+        try:
+            has_ended = await has_crashed(self._reactor, self._pool, upstream.address, others)
+        finally:
+            subjects = self._checks.pop(crash.run)
         if not has_ended:
             self._wake()
             return
--- a/src/cactusshunt/streams/stream_versions.py
+++ b/src/cactusshunt/streams/stream_versions.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from dataclasses import replace
 from functools import partial
+from traceback import format_exc
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -353,7 +354,7 @@
             on_written, self._on_written = self._on_written, []
             if await self._write_once():
                 for release in on_written:
-                    release()
+                    _call_safely(release)
                 await pause(self._reactor, WRITE_INTERVAL_S)
             else:
                 self._write_due = bool(self.recorded)
@@ -379,6 +380,9 @@
         except StoreError as error:
             log_event("stream_records_unwritten", streams=len(versions), reason=error.reason)
             return False
+        except Exception:  # must not end the writes that follow
+            log_event("task_failed", reason=format_exc(limit=-4))
+            return False
         self._acknowledge(versions)
         return True
 
@@ -466,3 +470,11 @@
 
     def _now(self) -> float:
         return self._reactor.seconds()  # type: ignore[no-any-return]
+
+
+def _call_safely(run: Callable[[], None]) -> None:
+    """Call a function of one stream, whose error must not end the writes for all."""
+    try:
+        run()
+    except Exception:
+        log_event("task_failed", reason=format_exc(limit=-4))
--- a/src/cactusshunt/tasks/entry/idempotency_claims.py
+++ b/src/cactusshunt/tasks/entry/idempotency_claims.py
@@ -28,6 +28,7 @@
 from cactusshunt.decisions.idempotency import classify_claim
 from cactusshunt.decisions.idempotency import complete_claim
 from cactusshunt.exceptions import StoreError
+from cactusshunt.exceptions import StoreOutcomeUnknownError
 from cactusshunt.exceptions import StoreUnavailableError
 from cactusshunt.schema.codec import decode_record
 from cactusshunt.schema.codec import encode_record
@@ -184,10 +185,18 @@
 
     async def _write_batch(self, batch: list[_QueuedWrite]) -> None:
         self.calls += 1
-        result = await self._store.commit_each(
-            [queued.commit for queued in batch],
-            deadline=self._reactor.seconds() + STORE_CALL_TIMEOUT_S,
-        )
+        try:
+            result = await self._store.commit_each(
+                [queued.commit for queued in batch],
+                deadline=self._reactor.seconds() + STORE_CALL_TIMEOUT_S,
+            )
+        except Exception as error:  # who waits for a write must not wait for ever
+            log.exception("writing claims failed")
+            result = Error(
+                StoreOutcomeUnknownError(
+                    reason=f"{error!r}.", remedy="Send the request again with the same key."
+                )
+            )
         for position, queued in enumerate(batch):
             answer: Result[bool, StoreError] = (
                 Ok(result.ok[position]) if result.is_ok() else Error(result.error)
