Answer many requests that arrive at once one after the other

A caller that sends some hundred requests in one packet, each of which is answered at once (a rejection, a refusal), got its connection closed with most of them unanswered.

Cause: finish() reads the next request within the answer to the one before, so that answers nest until the interpreter's recursion limit; the error closes the connection. Evidence: the new scenario, 2,000 requests in one packet, raises RecursionError before.

The loop that reads requests now goes on by itself after an answer that was given within it. After: all 2,000 are answered.

--- a/src/cactusshunt/http1/caller_connection.py
+++ b/src/cactusshunt/http1/caller_connection.py
@@ -81,6 +81,7 @@
         self._timer: IDelayedCall | None = None
         self._lost = False
         self._chunked = False
+        self._reading_events = False
         self.on_disconnect: Callable[[], None] | None = None
         self.busy = False
         self._idle_since: float = reactor.seconds()
@@ -171,25 +172,35 @@
             self._close()
 
     def _read_events(self) -> None:
-        while not self.busy and not self._lost:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                if self._http.they_are_waiting_for_100_continue:
-                    self._send(h11.InformationalResponse(status_code=100, headers=[]))
-                return
-            if isinstance(event, h11.ConnectionClosed):
-                return
-            if isinstance(event, h11.Request):
-                if not self._accept_head(event):
-                    return
-            elif isinstance(event, h11.Data):
-                self._body_bytes += len(event.data)
-                if self._body_bytes > self._limits.body_bytes:
-                    self._reject(413)
-                    return
-                self._body.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._handle_request()
+        if self._reading_events:  # a request was answered within the loop, which goes on
+            return
+        self._reading_events = True
+        try:
+            while not self.busy and not self._lost and self._read_event():
+                pass
+        finally:
+            self._reading_events = False
+
+    def _read_event(self) -> bool:
+        """Handle what was received next; return whether more may follow."""
+        event = self._http.next_event()
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            if self._http.they_are_waiting_for_100_continue:
+                self._send(h11.InformationalResponse(status_code=100, headers=[]))
+            return False
+        if isinstance(event, h11.ConnectionClosed):
+            return False
+        if isinstance(event, h11.Request):
+            return self._accept_head(event)
+        if isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
+            if self._body_bytes > self._limits.body_bytes:
+                self._reject(413)
+                return False
+            self._body.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._handle_request()
+        return True
 
     def _accept_head(self, event: h11.Request) -> bool:
         if not self._arrived_at:
--- a/tests/http1/connections.feature
+++ b/tests/http1/connections.feature
@@ -8,6 +8,11 @@
     Given a request whose body is another request
     Then one request is received, with that body
 
+  # Guards against answers within answers, which reached the interpreter's recursion limit.
+  Scenario: Many requests arrive at once, and each is answered at once
+    Given a caller that sends 2000 requests in one packet
+    Then each of them is answered
+
   Scenario: A request that states its length in two ways is rejected
     Given a request with both a Content-Length and chunks
     Then it is answered with 400 and the connection closes
--- a/tests/steps/connection_steps.py
+++ b/tests/steps/connection_steps.py
@@ -123,6 +123,19 @@
     check()
 
 
+@given("a caller that sends {count:d} requests in one packet")
+def make_packet(context: Any, count: int) -> None:
+    context.count = count
+    context.packet = b"".join(encode_request(n, b"", False) for n in range(count))
+
+
+@then("each of them is answered")
+def check_each_answered(context: Any) -> None:
+    _, connection, transport = connect_caller()
+    connection.dataReceived(context.packet)
+    assert transport.value().count(b"HTTP/1.1 200") == context.count
+
+
 @given("a request whose body is another request")
 def make_nested_request(context: Any) -> None:
     context.inner = encode_request(9, b"inner", False)
