Do not read from an upstream while the caller is full

Cause: events were written to the caller's transport without flow control; nothing paused the reading from the upstream while that buffer was full.

A gate between the two connections pauses the upstream's while the caller's transport has enough to write, and while more than 64 KB of events are held back for their record. A caller that sends over 64 KB of its next requests ahead is not read until its answer is complete. It works because the peer's own window fills, so that it waits; order and content stay, and callers that read see no difference.

--- a/src/cactusshunt/http1/caller_connection.py
+++ b/src/cactusshunt/http1/caller_connection.py
@@ -13,6 +13,7 @@
 from twisted.internet.protocol import connectionDone
 
 from cactusshunt.http1.sockets import tune_socket
+from cactusshunt.http1.source_gate import SourceGate
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,6 +24,7 @@
 
 Headers = list[tuple[bytes, bytes]]
 CALLER_USER_TIMEOUT_MS = 5000  # mobile links may stall for seconds
+MAX_EARLY_BYTES = 65_536  # of the next requests, which are read before an answer is complete
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -66,7 +68,10 @@
 
 
 class CallerConnection(Protocol):
-    """Parses requests of one caller and writes answers, one request at a time."""
+    """Parses requests of one caller and writes answers, one request at a time.
+
+    ``gate`` pauses the source of an answer that is written in parts while the caller does not read.
+    """
 
     def __init__(self, *, reactor: ReactorBase, handler: RequestHandler) -> None:
         self._reactor = reactor
@@ -81,7 +86,9 @@
         self._timer: IDelayedCall | None = None
         self._lost = False
         self._chunked = False
+        self._reading_paused = False
         self._reading_events = False
+        self.gate = SourceGate()
         self.on_disconnect: Callable[[], None] | None = None
         self.busy = False
         self._idle_since: float = reactor.seconds()
@@ -112,6 +119,7 @@
             self._read_events()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
+        self._limit_early_bytes()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Notify the handler and the request in progress that the caller disconnected."""
@@ -133,7 +141,11 @@
 
     def write_head(self, status: int, headers: Headers) -> None:
         """Write the head of an answer of unknown length, which is sent in chunks."""
+        if self._lost:
+            return
         self._chunked = True
+        transport: Any = self.transport
+        transport.registerProducer(self.gate, True)
         self._send_head(status, [*headers, (b"Transfer-Encoding", b"chunked")])
 
     def write(self, data: bytes) -> None:
@@ -145,6 +157,7 @@
         if self._lost:
             return
         self._send(h11.EndOfMessage())
+        self._release_source()
         self.on_disconnect = None
         self.busy = False
         self._idle_since = self._reactor.seconds()
@@ -157,6 +170,7 @@
             self._read_events()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
+        self._limit_early_bytes()
 
     def abort(self) -> None:
         """Abort the connection, so that the caller sees that the answer is incomplete."""
@@ -202,6 +216,26 @@
             self._handle_request()
         return True
 
+    def _limit_early_bytes(self) -> None:
+        """Read nothing more while much of the next requests waits for the answer to this one."""
+        too_many = self.busy and len(self._http.trailing_data[0]) > MAX_EARLY_BYTES
+        if too_many == self._reading_paused or self._lost:
+            return
+        self._reading_paused = too_many
+        transport: Any = self.transport
+        if too_many:
+            transport.pauseProducing()
+        else:
+            transport.resumeProducing()
+
+    def _release_source(self) -> None:
+        """Let the source be read again; what is still to be written is bounded."""
+        if self._chunked:
+            self._chunked = False
+            transport: Any = self.transport
+            transport.unregisterProducer()
+        self.gate.resumeProducing()
+
     def _accept_head(self, event: h11.Request) -> bool:
         if not self._arrived_at:
             self._arrived_at = self._reactor.seconds()
@@ -264,6 +298,7 @@
 
     def _close(self) -> None:
         self._stop_timer()
+        self._release_source()  # a transport with a paused producer does not close
         transport: Any = self.transport
         if not self._lost:
             transport.loseConnection()
--- a/src/cactusshunt/http1/upstream_connection.py
+++ b/src/cactusshunt/http1/upstream_connection.py
@@ -127,6 +127,15 @@
         if self._exchange_done is not None:
             self._reject_answer()
 
+    def pause_reading(self) -> None:
+        """Read nothing more for now, so that the upstream's writes wait."""
+        self._transport_or_fail().pauseProducing()
+
+    def resume_reading(self) -> None:
+        """Read on, unless the connection has ended."""
+        if not self._lost and not self._closing:
+            self._transport_or_fail().resumeProducing()
+
     def abort(self) -> None:
         """Abort the connection; it is never reused."""
         self._closing = True
@@ -245,8 +254,11 @@
             self.abort()
 
     def _write(self, payload: bytes) -> None:
-        transport: Any = self.transport
-        transport.write(payload)
+        self._transport_or_fail().write(payload)
+
+    def _transport_or_fail(self) -> Any:
+        assert self.transport is not None
+        return self.transport
 
     def _abort_exchange(self, end: ExchangeEnd) -> None:
         # Who waits for the exchange returns the connection to the pool at once, which keeps those
--- a/src/cactusshunt/requests/answer_sink.py
+++ b/src/cactusshunt/requests/answer_sink.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from cactusshunt.http1.source_gate import PauseReason
 from cactusshunt.platform import headers as names
 from cactusshunt.requests.event_stream import EventSplitter
 
@@ -15,6 +16,7 @@
 
 
 MAX_BUFFERED_BYTES = 16_777_216  # of an answer that is no stream; four times callers' bodies
+MAX_HELD_BYTES = 65_536  # of events that wait for their release; beyond it reading is paused
 MAX_EVENT_BYTES = 1_048_576  # events hold a few tokens; a longer one is bytes without end
 
 
@@ -170,6 +172,7 @@
         if not self.is_holding(hold):
             return
         self._holds = False
+        self._connection.gate.open(PauseReason.EVENTS_HELD)
         held, self._held = self._held, b""
         if held:
             self._forward(held)
@@ -179,6 +182,7 @@
     def drop_held(self) -> None:
         """Discard what is held back, because the request is answered otherwise."""
         self._holds = self._finish_due = False
+        self._connection.gate.open(PauseReason.EVENTS_HELD)
         self._held = b""
 
     def finish_stream(self) -> None:
@@ -208,6 +212,8 @@
     def _forward(self, data: bytes) -> None:
         if self._holds:
             self._held += data
+            if len(self._held) > MAX_HELD_BYTES:
+                self._connection.gate.close(PauseReason.EVENTS_HELD)
             return
         if not self.forwarding_started:
             self.forwarding_started = True
--- a/src/cactusshunt/requests/exchange.py
+++ b/src/cactusshunt/requests/exchange.py
@@ -53,7 +53,9 @@
     job.on_timeout = connection.cancel if job.cancellable else None
     left_s = max(0.0, job.deadline + LATE_ANSWER_S - reactor.seconds())
     last_end = reactor.callLater(left_s, connection.cancel)
+    job.connection.gate.attach(connection)
     end = await exchange_end
+    job.connection.gate.detach()
     for timer in (last_end, *stray_timers):
         if timer.active():
             timer.cancel()
