Let a new order holder begin only when the former ones have stopped

Causes, three shown: (1) a holder keeps its right in an outage while a majority hears nothing, but one VM that reaches the store is enough to be elected; (2) a tenure is extended with the lease while the holder key is gone and the view hears nothing; (4) the list of former holders is written from the candidate's view, under no condition of its own, so that it may forget one. A missing list (3) counted as none.

The right in an outage ends 3 s after the store last showed the holder its key, and a tenure is extended only if the key was shown of late (a read of it, if the view is over 2 s old). A new holder asks the former ones, at addresses that the store keeps without a lease: they give their right up and say so; a refused connection shows that the process is gone; else it waits until 6 s after the key's loss. An election fails if the candidate has not seen the last one. It works because each right ends on what its holder itself has been shown.

In an outage orders end after 3 s.

--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -30,6 +30,7 @@
 ip = "127.0.0.1"
 zone = "{zone}"
 portRange = [{udp}, {udp}]
+bootstrap = true
 [listen]
 front = "127.0.0.1:{front}"
 ready = "127.0.0.1:{ready}"
--- a/soak/faulty_link.py
+++ b/soak/faulty_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
 import socket
 import struct
@@ -71,8 +72,10 @@
     def _reset(self, port: int) -> None:
         for writer in list(self._writers[port]):
             tcp_socket = writer.get_extra_info("socket")
-            if tcp_socket is not None:
-                tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            with contextlib.suppress(OSError):  # it is closed already
+                if tcp_socket is not None:
+                    linger = struct.pack("ii", 1, 0)
+                    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.transport.abort()
 
     def _accept(self, port: int, target: int) -> Any:
--- a/src/cactusshunt/http1/connection_pool.py
+++ b/src/cactusshunt/http1/connection_pool.py
@@ -22,6 +22,16 @@
 Address = tuple[str, int]
 
 
+async def refuses_connections(pool: ConnectionPool, address: Address) -> bool:
+    """Return whether an address refuses connections: its host answers, and no process listens."""
+    try:
+        connection = await pool.open(address)
+    except UpstreamNotReachedError as error:
+        return isinstance(error.__cause__, ConnectionRefusedError)
+    pool.release(address, connection)
+    return False
+
+
 class ConnectionPool:
     """Opens connections and keeps idle ones for reuse; never repeats a request."""
 
--- a/src/cactusshunt/membership/membership_task.py
+++ b/src/cactusshunt/membership/membership_task.py
@@ -15,10 +15,16 @@
 from cactusshunt.exceptions import CompareFailedError
 from cactusshunt.exceptions import LeaseEndedError
 from cactusshunt.exceptions import StoreError
+from cactusshunt.membership.former_holders import FORMER_HOLDERS_KEY
+from cactusshunt.membership.former_holders import LAST_HOLDER_KEY
+from cactusshunt.membership.former_holders import FormerHolders
 from cactusshunt.membership.peer_link import PeerRecord
+from cactusshunt.membership.stop_proofs import StopProofs
+from cactusshunt.membership.tenure import NO_TOKEN
+from cactusshunt.membership.tenure import OUTAGE_RIGHT_S
 from cactusshunt.membership.tenure import RENEWAL_FRACTION
 from cactusshunt.membership.tenure import STORE_SILENCE_S
-from cactusshunt.membership.tenure import UNKNOWN_HOLDER
+from cactusshunt.membership.tenure import VIEW_MAX_AGE_S
 from cactusshunt.membership.tenure import StoreReport
 from cactusshunt.membership.tenure import Tenure
 from cactusshunt.membership.tenure import begin_tenure
@@ -33,17 +39,20 @@
 from cactusshunt.tasks.periodic import pause
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from twisted.internet.base import ReactorBase
 
     from cactusshunt.configuration.store_era import StoreEra
     from cactusshunt.configuration.store_era import StorePosition
+    from cactusshunt.membership.messages import StopAnswer
+    from cactusshunt.membership.messages import StopQuestion
     from cactusshunt.membership.peer_link import PeerLink
     from cactusshunt.platform.store import PlatformStore
 
 VM_PREFIX = SYSTEM_PREFIX + "vm/"
 HOLDER_KEY = SYSTEM_PREFIX + "holder"
-LAST_HOLDER_KEY = SYSTEM_PREFIX + "last-holder"
-MAX_FORMER_HOLDERS = 3  # besides the current one; no more follow within a re-election delay
 LEASE_S = 1.6  # after two lost renewals, a quarter of it remains in which a holder can stop
 REGISTRATION_RETENTION_S = 60.0  # VMs that left count in ``confirm_outage``; restarts take less
 CALL_TIMEOUT_S = 0.5
@@ -64,7 +73,10 @@
         record: PeerRecord,
         lease_s: float,
         reelection_delay_s: float,
+        is_first_start: bool,
+        refuses: Callable[[tuple[str, int]], Awaitable[bool]],
     ) -> None:
+        """``refuses`` returns whether an address refuses connections."""
         self._reactor = reactor
         self._store = store
         self._era = era
@@ -80,11 +92,22 @@
         self._registered = False
         # the holder key's value (``vm/incarnation``) and its position
         self._holder: tuple[str, StorePosition] | None = None
-        # positions of the last-holder key, each with its VM names
-        self._former_holders: list[tuple[StorePosition, list[str]]] = []
-        # Until then, a holder that the store's list lacks may still send orders.
-        self._unlisted_holders_end_at = reactor.seconds() + lease_s + reelection_delay_s
-        self._holders_of_earlier_era: list[str] = []
+        address = (record.address, record.port)
+        self._former = FormerHolders(
+            vm=vm,
+            address=address,
+            clock=reactor.seconds,
+            era=era,
+            is_first_start=is_first_start,
+            unlisted_for_s=lease_s + reelection_delay_s,
+        )
+        self._proofs = StopProofs(
+            reactor=reactor, vm=vm, address=address, link=link, refuses=refuses
+        )
+        self._yielded_token = NO_TOKEN  # elections before it give this VM no right any more
+        self._view_read_at = reactor.seconds()
+        # when the store last showed this VM that the holder key is its own
+        self._key_shown_at = reactor.seconds()
         self._vacant_since: float | None = None
         self._store_was_read = False
         self._tenure = Tenure()
@@ -111,11 +134,15 @@
     def may_order(self, now: float) -> bool:
         """Return whether orders may be sent: the tenure is valid, or no VM reaches the store."""
         tenure = self.tenure
+        if self._proofs.is_open():
+            return False
         if tenure.is_valid(now):
             return True
         if not tenure.elected or now < tenure.begins_at:
             return False
-        outage = confirm_outage(
+        # A majority that hears nothing does not prove that no VM reaches the store and is elected:
+        # such a VM waits until this right has ended.
+        outage = now < self._key_shown_at + OUTAGE_RIGHT_S and confirm_outage(
             now=now,
             own_zone=self._record.availability_zone,
             own_silent_s=self.store_silent_s(now),
@@ -139,11 +166,34 @@
     def record_store_report(self, vm: str, silent_s: float) -> None:
         """Record how long the store has been silent for a peer."""
         known = self._registered_vms.get(vm)
-        if known is not None:
+        # One that is not known may have been registered since, and reach the store.
+        if known is not None or silent_s < STORE_SILENCE_S:
+            zone = known[1] if known is not None else ""
             self._store_reports[vm] = StoreReport(
-                availability_zone=known[1], received_at=self._now(), silent_s=silent_s
+                availability_zone=zone, received_at=self._now(), silent_s=silent_s
             )
 
+    def answer_question(self, question: StopQuestion) -> None:
+        """Give up the right of an earlier election, and say so, unless this VM's is later."""
+        if self._tenure.token >= question.token:
+            return
+        if self._tenure.elected:
+            log_event("right_lost", reason="another VM was elected")
+            self._tenure = self._last_tenure = Tenure()
+        self._yielded_token = max(self._yielded_token, question.token)
+        self._proofs.answer(question)
+
+    def record_stop_answer(self, answer: StopAnswer) -> None:
+        """Record that a former holder has stopped."""
+        self._proofs.record_answer(answer)
+
+    def give_up(self, reason: str) -> None:
+        """Send no more orders by this VM's election, even if the view shows it later."""
+        if self._tenure.elected:
+            log_event("right_lost", reason=reason)
+            self._yielded_token = max(self._yielded_token, self._tenure.token + 1)
+        self._tenure = self._last_tenure = Tenure()
+
     @property
     def holder(self) -> str | None:
         """Return the order holder's VM name according to the store, if there is one."""
@@ -152,8 +202,12 @@
     def record_store_read(self) -> None:
         """Record a read of the store; from the first one on, a missing holder means a vacancy."""
         self.record_store_answer()
+        self._view_read_at = self._now()
+        if self._tenure.elected:
+            self._key_shown_at = self._now()
         if not self._store_was_read:
             self._store_was_read = True
+            self._former.record_first_read()
             if self._holder is None:
                 self._vacant_since = self._now()
 
@@ -162,11 +216,9 @@
         if item.key == HOLDER_KEY:
             self._apply_holder(item)
         elif item.key == LAST_HOLDER_KEY:
-            names = (item.value or b"").decode(errors="replace").split(",")
-            self._former_holders = [
-                *self._former_holders[-1:],
-                (item.position, [name for name in names if name]),
-            ]
+            self._former.apply_list(item)
+        elif item.key == FORMER_HOLDERS_KEY:
+            self._former.apply_addresses(item)
         elif item.key.startswith(VM_PREFIX):
             self._apply_vm_record(item)
 
@@ -221,7 +273,7 @@
                 )
             self.record_store_answer()
             self._renewal_sent_at = sent
-            if self.tenure.elected:
+            if self.tenure.elected and await self._shows_own_key(sent):
                 self._tenure = extend_tenure(
                     self._tenure, renewal_sent_at=sent, lease_s=self._lease_s
                 )
@@ -235,6 +287,29 @@
             self._registered = True
         await self._stand_for_election()
 
+    async def _shows_own_key(self, now: float) -> bool:
+        """Return whether the store showed of late that the holder key is this VM's.
+
+        The key may have been removed while the lease lives. The view shows that, unless it hears
+        nothing from the store.
+        """
+        if now < self._view_read_at + VIEW_MAX_AGE_S:
+            return True
+        tenure = self._tenure
+        found = await self._store.read_prefix(HOLDER_KEY, deadline=self._now() + CALL_TIMEOUT_S)
+        own = f"{self._vm}/{self._incarnation}".encode()
+        shown = any(
+            item.key == HOLDER_KEY and item.value == own and item.position.token == tenure.token
+            for item in found.items
+        )
+        if self._tenure.token != tenure.token:  # lost while the store was read
+            return False
+        if shown:
+            self._key_shown_at = now
+        else:
+            self.give_up("the holder key was removed")
+        return shown
+
     async def _stand_for_election(self) -> None:
         if not self._store_was_read:
             return
@@ -243,7 +318,7 @@
             return
         if self._holder is not None or self._vacant_since is None:
             return
-        former = self._find_holders_before(None)
+        former = self._former.list_before(None)
         delay = compute_election_delay_s(
             vm=self._vm,
             ranked=rank_nodes([self._vm, *self._link.peers], "holder"),
@@ -254,16 +329,16 @@
         if self._now() < self._vacant_since + delay:
             return
         value = f"{self._vm}/{self._incarnation}".encode()
-        known = [name for name in former if name != UNKNOWN_HOLDER]
-        holders = [*known[-MAX_FORMER_HOLDERS:], self._vm]
         lease = self._lease_id
+        # Not if there was an election that this VM has not seen: its list of holders would lack it.
         position = await self._store.commit(
-            expected={HOLDER_KEY: ABSENT},
+            expected={HOLDER_KEY: ABSENT, LAST_HOLDER_KEY: self._former.list_revision},
             puts={HOLDER_KEY: value},
-            unleased_puts={LAST_HOLDER_KEY: ",".join(holders).encode()},
+            unleased_puts=self._former.encode_list(former),
             lease=lease,
             deadline=self._now() + CALL_TIMEOUT_S,
         )
+        self._former.list_revision = position.revision
         self._apply_holder(
             StoredItem(
                 key=HOLDER_KEY,
@@ -300,17 +375,20 @@
             self._record_vacancy()
             self._tenure = Tenure()
             return
+        if self._holder is not None and self._holder[0] != item.value.decode(errors="replace"):
+            self._former.record_loss(self._holder[0].partition("/")[0])
         name = item.value.decode(errors="replace")
         self._holder = (name, item.position)
         self._vacant_since = None
         token = item.position.token
         is_own = name == f"{self._vm}/{self._incarnation}" and item.lease == self._lease_id
-        if not is_own:
+        if not is_own or token < self._yielded_token:
             self._tenure = Tenure()
             return
         if self._tenure.token == token:
             return
-        former = self._find_holders_before(item.position)
+        former = self._former.list_before(item.position)
+        self._key_shown_at = now
         self._tenure = begin_tenure(
             token=token,
             now=now,
@@ -322,6 +400,7 @@
             previous=self._last_tenure,
         )
         self._last_tenure = self._tenure
+        self._proofs.begin(token, self._former.find_ends(former), self._former.addresses)
         waits_s = round(self._tenure.begins_at - now, 3)
         log_event("right_won", token=token, former=former, waits_s=waits_s)
 
@@ -347,19 +426,6 @@
         }
         return [self._record.availability_zone, *(z for _, z in self._registered_vms.values())]
 
-    def _find_holders_before(self, position: StorePosition | None) -> list[str]:
-        """Return the holders before a position of the store, the latest one last.
-
-        The store's own list may lack the latest ones if it came back from a copy, which a process
-        that has just started does not know.
-        """
-        known = [names for at, names in self._former_holders if position is None or at < position]
-        names = known[-1] if known else []
-        if self._now() >= self._unlisted_holders_end_at:
-            return names
-        names = [*names, *self._holders_of_earlier_era]
-        return [*names, UNKNOWN_HOLDER] if names else names
-
     def _apply_vm_record(self, item: StoredItem) -> None:
         vm = item.key.removeprefix(VM_PREFIX)
         if item.value is None:
@@ -380,21 +446,20 @@
             zone = record.availability_zone
             log_event("peer_heard", peer=vm, zone=zone, peers=len(self._link.peers) + 1)
         self._link.set_peer(vm, record)
+        self._former.record_address(vm, (record.address, record.port))
         if vm != self._vm:
             self._registered_vms[vm] = (self._now(), record.availability_zone)
 
     def _forget_era(self) -> None:
         """Give up everything that the store granted before it came back from a copy."""
-        former = [name for name in self._find_holders_before(None) if name != UNKNOWN_HOLDER]
-        if self._last_tenure.elected:  # the view may not have shown it yet
-            former.append(self._vm)
-        self._holders_of_earlier_era = [*former[-MAX_FORMER_HOLDERS:], UNKNOWN_HOLDER]
-        self._unlisted_holders_end_at = self._now() + self._lease_s + self._reelection_delay_s
+        self._former.forget_era(was_holder=self._last_tenure.elected)
         self._last_tenure = Tenure()
         self._forget_lease("the store came back from a copy")
         self._record_vacancy()
 
     def _record_vacancy(self) -> None:
+        if self._holder is not None:
+            self._former.record_loss(self._holder[0].partition("/")[0])
         self._holder = None
         self._vacant_since = self._now()
 
--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -247,6 +247,25 @@
     forward_in_zone: bool = False
 
 
+class StopQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="k", array_like=True):
+    """A new order holder asks a former one whether it has stopped; the answer goes to the address.
+
+    ``token`` is the fencing token of the new holder.
+    """
+
+    vm: str
+    token: int
+    address: str
+    port: int
+
+
+class StopAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="o", array_like=True):
+    """A VM sends no orders by an election before that of ``token``, and never will."""
+
+    vm: str
+    token: int
+
+
 Message = (
     Status
     | DemandReport
@@ -258,6 +277,8 @@
     | PartReport
     | ConvictedPart
     | NoticeReport
+    | StopQuestion
+    | StopAnswer
 )
 # Sent to all VMs, in a large fleet by forwarders.
 Broadcast = PlacementUpdate | LimitReport | CrashReport | PartReport | ConvictedPart | NoticeReport
--- a/src/cactusshunt/membership/peer_link.py
+++ b/src/cactusshunt/membership/peer_link.py
@@ -22,6 +22,8 @@
 from cactusshunt.membership.messages import PermitRequest
 from cactusshunt.membership.messages import PlacementUpdate
 from cactusshunt.membership.messages import Status
+from cactusshunt.membership.messages import StopAnswer
+from cactusshunt.membership.messages import StopQuestion
 from cactusshunt.membership.messages import decode_message
 from cactusshunt.membership.messages import encode_message
 
@@ -45,10 +47,13 @@
     PartReport: "parts",
     ConvictedPart: "convictions",
     NoticeReport: "notices",
+    StopQuestion: "stop_questions",
+    StopAnswer: "stop_answers",
 }
 # What a VM's messages include beyond status, demand and placement: 1 nothing, 2 request limits,
 # 3 also crashes of engines; 4: the VM also accepts requests that others pass on; 5 also what
-# upstreams say of themselves.
+# upstreams say of themselves. Questions of new order holders need none: VMs of earlier builds
+# ignore them.
 MESSAGE_VERSION = 5
 LIMITS_MESSAGE_VERSION = 2
 CRASHES_MESSAGE_VERSION = 3
@@ -123,13 +128,21 @@
             return
         for vm in recipients:
             peer = self._peers.get(vm)
-            if peer is None:
-                continue
-            try:
-                transport.write(data, (peer.record.address, peer.record.port))
-            except (OSError, ValueError, OverflowError):  # also for an address that is none
-                continue
-            self.bytes_sent[MESSAGE_NAMES[type(message)]] += len(data)
+            if peer is not None:
+                self._write(message, data, (peer.record.address, peer.record.port))
+
+    def send_to(self, message: Message, address: tuple[str, int]) -> None:
+        """Send a message to a VM that need not be registered; it is dropped if it cannot be."""
+        if self.transport is not None:
+            self._write(message, encode_message(message), address)
+
+    def _write(self, message: Message, data: bytes, address: tuple[str, int]) -> None:
+        transport: Any = self.transport
+        try:
+            transport.write(data, address)
+        except (OSError, ValueError, OverflowError):  # also for an address that is none
+            return
+        self.bytes_sent[MESSAGE_NAMES[type(message)]] += len(data)
 
     def list_limit_peers(self) -> list[str]:
         """Return the peers that understand messages on request limits."""
--- a/src/cactusshunt/membership/tenure.py
+++ b/src/cactusshunt/membership/tenure.py
@@ -22,6 +22,15 @@
 RANK_DELAY_FRACTION = 0.2  # each rank stands for election this fraction of a lease later
 MAX_ELECTION_DELAY_FRACTION = 2.0  # no rank waits for more than this many leases
 STORE_SILENCE_S = 0.7  # the store counts as unreachable after this time without an answer
+# A right that is kept in an outage ends this time after the store last showed the holder its key.
+OUTAGE_RIGHT_S = 3.0
+# A lease may live without the holder key. If the view is older than this, the holder reads its key
+# before it extends its tenure.
+VIEW_MAX_AGE_S = 2.0
+# A former holder without a proof that it has stopped is waited for, from when it had lost its key.
+# What it knows of the key is up to 2.5 s old, the longest call of the view. It then keeps its right
+# for ``OUTAGE_RIGHT_S``, or ``VIEW_MAX_AGE_S``, a renewal's interval and the rest of its tenure.
+UNPROVED_RIGHT_S = 6.0
 STORE_REPORT_MAX_AGE_S = 0.5  # older reports that the store is silent don't count
 CONTRADICTION_MAX_AGE_S = 1.0  # older reports that a peer reaches the store don't count
 
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -22,6 +22,7 @@
 from cactusshunt.exceptions import SettingsError
 from cactusshunt.http1.caller_connection import CallerConnection
 from cactusshunt.http1.connection_pool import ConnectionPool
+from cactusshunt.http1.connection_pool import refuses_connections
 from cactusshunt.limits.request_limits import RequestLimits
 from cactusshunt.membership.announcer import DEMAND_INTERVAL_S
 from cactusshunt.membership.announcer import REACH_INTERVAL_S
@@ -40,6 +41,8 @@
 from cactusshunt.membership.messages import PermitRequest
 from cactusshunt.membership.messages import PlacementUpdate
 from cactusshunt.membership.messages import Status
+from cactusshunt.membership.messages import StopAnswer
+from cactusshunt.membership.messages import StopQuestion
 from cactusshunt.membership.peer_link import MESSAGE_VERSION
 from cactusshunt.membership.peer_link import PeerLink
 from cactusshunt.membership.peer_link import PeerRecord
@@ -144,6 +147,8 @@
             lease_s=max(LEASE_S, settings.platform.ttl_min_ms / 1000.0),
             # lease_ms bounds how soon a former order holder may order again; LEASE_S is the lease
             reelection_delay_s=bounds.lease_ms / 1000.0,
+            is_first_start=settings.bootstrap,
+            refuses=partial(refuses_connections, self._order_pool),
         )
         self._orders = OrderTask(
             reactor=reactor,
@@ -258,6 +263,8 @@
             PartReport: self._quarantine.apply_message,
             ConvictedPart: self._quarantine.apply_message,
             NoticeReport: self._notices.apply_message,
+            StopQuestion: self._membership.answer_question,
+            StopAnswer: self._membership.record_stop_answer,
         }
         self._callers = CallerRequests(
             reactor=reactor, relay=relay, meter=self._meter, grace_s=bounds.grace_s
@@ -529,6 +536,8 @@
 
     def _end_serving(self) -> None:
         """Accept nothing more, and send the last answers."""
+        # A port that refuses connections tells a new order holder that this process has ended.
+        self._membership.give_up("this VM is stopping")
         while self._caller_ports:
             self._caller_ports.pop().stopListening()
         self._callers.answer_all()
--- a/src/cactusshunt/platform/boot.py
+++ b/src/cactusshunt/platform/boot.py
@@ -53,7 +53,8 @@
     """Settings of one process; unknown fields are ignored.
 
     ``node`` is the name of the VM; the first port of ``port_range`` is for UDP and TCP between
-    VMs, the others are unused; ``statsd`` is ``HOST:PORT``, or empty to send no statsd metrics.
+    VMs, the others are unused; ``statsd`` is ``HOST:PORT``, or empty to send no statsd metrics;
+    ``bootstrap`` means that the whole system starts for the first time.
     """
 
     node: str
@@ -64,6 +65,7 @@
     platform: StoreSettings
     bounds: Bounds = Bounds()
     statsd: str = ""
+    bootstrap: bool = False
 
 
 def find_settings_file() -> Path:
--- a/tests/steps/simulated_store.py
+++ b/tests/steps/simulated_store.py
@@ -109,6 +109,7 @@
     """One VM's calls to the store; ``cut`` loses them until their deadline.
 
     The next write is carried out ``late_s`` after it was sent, without an answer, unless that is 0.
+    ``deaf`` loses reads and watches only.
     """
 
     def __init__(self, store: SimulatedStore) -> None:
@@ -116,6 +117,7 @@
         self.era = StoreEra(clock=store.clock.seconds)
         self.cut = False
         self.late_s = 0.0
+        self.deaf = False
 
     async def grant_lease(self, *, ttl_s: float, deadline: float) -> int:
         """Create a lease; its number may have been given out in an earlier era."""
@@ -196,7 +198,7 @@
 
     async def read_prefix(self, prefix: str, *, deadline: float) -> StoredRange:
         """Read all items."""
-        await self._travel(deadline)
+        await self._travel(deadline, lost=self.deaf)
         current = self._store.current
         found = tuple(item for key, item in current.items.items() if key.startswith(prefix))
         return self._answer(found)
@@ -206,7 +208,7 @@
     ) -> StoredRange:
         """Wait for changes after a revision."""
         del prefix
-        await self._travel(deadline)
+        await self._travel(deadline, lost=self.deaf)
         ends_at = self._store.clock.seconds() + wait_s
         while True:
             if self._store.down:
@@ -218,7 +220,7 @@
             left_s = ends_at - self._store.clock.seconds()
             if found or left_s <= 0.0:
                 answer = self._answer(found)
-                await self._travel(deadline)
+                await self._travel(deadline, lost=self.deaf)
                 return answer
             waiting: Deferred[None] = Deferred()
             self._store.waiting.append(waiting)
@@ -238,8 +240,8 @@
             self._store.waiting.remove(waiting)
             waiting.callback(None)
 
-    async def _travel(self, deadline: float) -> None:
-        lost = self.cut
+    async def _travel(self, deadline: float, *, lost: bool = False) -> None:
+        lost = lost or self.cut
         await self._sleep(deadline - self._store.clock.seconds() if lost else ANSWER_S)
         if lost or self._store.down:
             raise StoreUnavailableError(reason="No answer.", remedy="Retry the call.")
--- a/tests/steps/simulated_store_steps.py
+++ b/tests/steps/simulated_store_steps.py
@@ -20,14 +20,18 @@
 
 from cactusshunt.configuration.version_check import VersionCheck
 from cactusshunt.membership.membership_task import MembershipTask
+from cactusshunt.membership.messages import StopAnswer
+from cactusshunt.membership.messages import StopQuestion
 from cactusshunt.membership.peer_link import PeerLink
 from cactusshunt.membership.peer_link import PeerRecord
 from cactusshunt.platform.documents import SYSTEM_PREFIX
+from cactusshunt.tasks.periodic import pause
 from cactusshunt.tasks.periodic import start_coroutine
 
 STEP_S = 0.01
 LEASE_S = 1.6
 REELECTION_DELAY_S = 3.0
+MESSAGE_S = 0.002
 FAULTS_END_S = 20.0
 CALM_S = 6.0  # after the faults; covers the longest wait for an order holder
 
@@ -104,23 +108,74 @@
                     assert in_force[0] - at < CONFIG_BOUND_S, (seed, version)
 
 
+class Network:
+    """Carries messages between VMs; those in ``cut`` hear nothing and are not heard."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.vms: dict[int, OrderingVm | None] = {}
+        self.ports: dict[str, int] = {}
+        self.cut: set[str] = set()
+
+    def join(self, vm: OrderingVm) -> int:
+        """Add a VM, or the next process of one, and return its port."""
+        port = self.ports.setdefault(vm.name, 1 + len(self.ports))
+        self.vms[port] = vm
+        return port
+
+    def end(self, vm: OrderingVm) -> None:
+        """End a VM's process."""
+        self.vms[self.ports[vm.name]] = None
+
+    async def refuses(self, address: tuple[str, int]) -> bool:
+        """Return whether no process listens; a VM that is cut does not answer."""
+        await pause(cast("Any", self.clock), MESSAGE_S)
+        names = {port: name for name, port in self.ports.items()}
+        return self.vms.get(address[1]) is None and names.get(address[1]) not in self.cut
+
+    def send(self, sender: OrderingVm, message: Any, port: int) -> None:
+        """Deliver a message some milliseconds later."""
+        self.clock.callLater(MESSAGE_S, self._deliver, sender, message, port)
+
+    def _deliver(self, sender: OrderingVm, message: Any, port: int) -> None:
+        vm = self.vms.get(port)
+        if vm is not None and not self.cut & {vm.name, sender.name}:
+            vm.receive(message)
+
+
+class SimulatedLink(PeerLink):
+    """Link of a VM over a simulated network."""
+
+    def __init__(self, vm: OrderingVm) -> None:
+        super().__init__(vm=vm.name, receive=vm.receive)
+        self._owner = vm
+
+    def send_to(self, message: Any, address: tuple[str, int]) -> None:
+        """Send a message to an address."""
+        self._owner.network.send(self._owner, message, address[1])
+
+
 class OrderingVm:
     """A VM that stands for election and sends an order whenever it may."""
 
-    def __init__(self, store: SimulatedStore, name: str) -> None:
+    def __init__(self, store: SimulatedStore, name: str, *, network: Network | None = None) -> None:
         self.name = name
-        record = PeerRecord(address="127.0.0.1", port=1, availability_zone="z")
+        self.network = network or Network(cast("Clock", store.clock))
+        port = self.network.join(self)
+        record = PeerRecord(address="127.0.0.1", port=port, availability_zone="z")
         self.vm = SimulatedVm(store, listener=self)
         clock: Any = store.clock
         self.membership = MembershipTask(
             reactor=clock,
             store=cast("Any", self.vm.client),
             era=self.vm.client.era,
-            link=PeerLink(vm=name, receive=lambda message: None),
+            link=SimulatedLink(self),
             vm=name,
             record=record,
             lease_s=LEASE_S,
             reelection_delay_s=REELECTION_DELAY_S,
+            is_first_start=True,
+            refuses=self.network.refuses,
         )
         start_coroutine(self.membership.run())
 
@@ -133,6 +188,15 @@
         """Record a read."""
         self.membership.record_store_read()
 
+    def receive(self, message: Any) -> None:
+        """Handle a message of another VM."""
+        if isinstance(message, StopQuestion):
+            self.membership.answer_question(message)
+        elif isinstance(message, StopAnswer):
+            self.membership.record_stop_answer(message)
+        else:
+            self.membership.record_store_report(message.vm, message.store_silent_ms / 1000.0)
+
 
 @then(
     "in {count:d} random runs of 3 VMs at most one sends orders at a time, fencing tokens only "
@@ -141,7 +205,8 @@
 def check_orders(context: Any, count: int) -> None:
     for seed in range(count):
         play = context.make_play(seed=1000 + seed, vms=3)
-        vms = [OrderingVm(play.store, f"vm{number}") for number in range(play.vms)]
+        network = Network(play.clock)
+        vms = [OrderingVm(play.store, f"vm{number}", network=network) for number in range(play.vms)]
         orders: list[tuple[float, str, int]] = []
         play.run(
             FAULTS_END_S + 2 * CALM_S,
@@ -155,7 +220,7 @@
 def send_orders(play: Play, vms: list[OrderingVm], orders: list[tuple[float, str, int]]) -> None:
     now = play.clock.seconds()
     for vm in vms:
-        if vm.membership.tenure.is_valid(now):
+        if vm.membership.may_order(now):
             orders.append((now, vm.name, vm.membership.tenure.token))
 
 
