Bound the memory of all answers and bodies that are kept whole

Cause: each answer that is no stream is kept up to 16 MiB, each caller's body up to maxBodyBytes, each event up to 1 MiB; nothing bounded the sums.

All of them share 15% of the process's memory (limits.memoryMb, which is read now), the first 16 KB of each being free, so that usual answers are never refused for the size of others. An answer beyond it counts as one without end; a body is refused with 503 and Retry-After, as not run. A whole answer over 64 KB counts until its caller has read it.

--- a/src/cactusshunt/http1/caller_connection.py
+++ b/src/cactusshunt/http1/caller_connection.py
@@ -12,8 +12,11 @@
 from twisted.internet.protocol import Protocol
 from twisted.internet.protocol import connectionDone
 
+from cactusshunt.http1.memory_budget import MemoryBudget
+from cactusshunt.http1.memory_budget import Reservation
 from cactusshunt.http1.sockets import tune_socket
 from cactusshunt.http1.source_gate import SourceGate
+from cactusshunt.http1.source_gate import WrittenNotice
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,6 +27,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 CALLER_USER_TIMEOUT_MS = 5000  # mobile links may stall for seconds
+TRANSPORT_BUFFER_BYTES = 65_536  # a transport with more to write tells when that was written
+FULL_RETRY_AFTER = b"0.5"  # seconds; bodies are usually read within it
 MAX_EARLY_BYTES = 65_536  # of the next requests, which are read before an answer is complete
 
 
@@ -71,9 +76,16 @@
     """Parses requests of one caller and writes answers, one request at a time.
 
     ``gate`` pauses the source of an answer that is written in parts while the caller does not read.
+    ``budget`` bounds the bodies of all callers, and the answers that are kept whole.
     """
 
-    def __init__(self, *, reactor: ReactorBase, handler: RequestHandler) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: ReactorBase,
+        handler: RequestHandler,
+        budget: MemoryBudget | None = None,
+    ) -> None:
         self._reactor = reactor
         self._handler = handler
         limits = handler.limits()
@@ -87,8 +99,12 @@
         self._lost = False
         self._chunked = False
         self._reading_paused = False
+        self._has_producer = False
         self._reading_events = False
         self.gate = SourceGate()
+        self.budget = budget or MemoryBudget()
+        self._request_memory = Reservation(self.budget)
+        self._answer_memory = Reservation(self.budget)
         self.on_disconnect: Callable[[], None] | None = None
         self.busy = False
         self._idle_since: float = reactor.seconds()
@@ -125,6 +141,8 @@
         """Notify the handler and the request in progress that the caller disconnected."""
         self._lost = True
         self._stop_timer()
+        self._request_memory.release()
+        self._answer_memory.release()
         self._handler.connection_closed(self)
         on_disconnect, self.on_disconnect = self.on_disconnect, None
         if on_disconnect is not None:
@@ -135,6 +153,7 @@
         if self._lost:
             return
         framed = [*headers, (b"Content-Length", str(len(body)).encode())]
+        self._count_until_written(len(body))
         self._send_head(status, framed)
         self._send(h11.Data(data=body))
         self.finish()
@@ -144,8 +163,8 @@
         if self._lost:
             return
         self._chunked = True
-        transport: Any = self.transport
-        transport.registerProducer(self.gate, True)
+        self._answer_memory.release()
+        self._register_producer(self.gate)
         self._send_head(status, [*headers, (b"Transfer-Encoding", b"chunked")])
 
     def write(self, data: bytes) -> None:
@@ -158,6 +177,7 @@
             return
         self._send(h11.EndOfMessage())
         self._release_source()
+        self._request_memory.release()
         self.on_disconnect = None
         self.busy = False
         self._idle_since = self._reactor.seconds()
@@ -211,6 +231,9 @@
             if self._body_bytes > self._limits.body_bytes:
                 self._reject(413)
                 return False
+            if not self._request_memory.resize(self._body_bytes):
+                self._reject(503, [(b"Retry-After", FULL_RETRY_AFTER)])
+                return False
             self._body.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._handle_request()
@@ -232,10 +255,23 @@
         """Let the source be read again; what is still to be written is bounded."""
         if self._chunked:
             self._chunked = False
-            transport: Any = self.transport
-            transport.unregisterProducer()
+            self._register_producer(None)
         self.gate.resumeProducing()
 
+    def _count_until_written(self, body_bytes: int) -> None:
+        """Count an answer's body until the caller has read most of it."""
+        if body_bytes > TRANSPORT_BUFFER_BYTES and self._answer_memory.resize(body_bytes):
+            self._register_producer(WrittenNotice(self._answer_memory.release))
+
+    def _register_producer(self, producer: SourceGate | WrittenNotice | None) -> None:
+        """Let the transport tell a producer when its buffer is full, and empty again."""
+        transport: Any = self.transport
+        if self._has_producer:
+            transport.unregisterProducer()
+        self._has_producer = producer is not None
+        if producer is not None:
+            transport.registerProducer(producer, True)
+
     def _accept_head(self, event: h11.Request) -> bool:
         if not self._arrived_at:
             self._arrived_at = self._reactor.seconds()
@@ -282,13 +318,15 @@
             transport: Any = self.transport
             transport.write(payload)
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, extra_headers: Headers | None = None) -> None:
         """Reject a request and close the connection, as the start of the next may be unknown."""
+        self._request_memory.release()
         self._stop_timer()
         if self._lost:
             return
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            headers += extra_headers or []
             self._send(h11.Response(status_code=status, headers=headers))
             self._send(h11.EndOfMessage())
         self._close()
@@ -298,7 +336,9 @@
 
     def _close(self) -> None:
         self._stop_timer()
-        self._release_source()  # a transport with a paused producer does not close
+        self._release_source()
+        self._register_producer(None)  # a transport with a paused producer does not close
+        self._answer_memory.release()
         transport: Any = self.transport
         if not self._lost:
             transport.loseConnection()
--- a/src/cactusshunt/http1/source_gate.py
+++ b/src/cactusshunt/http1/source_gate.py
@@ -4,11 +4,15 @@
 
 import enum
 
+from typing import TYPE_CHECKING
 from typing import Protocol as Interface
 
 from twisted.internet.interfaces import IPushProducer
 from zope.interface import implementer
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class PauseReason(enum.Enum):
     """Why nothing more is read from the source."""
@@ -74,3 +78,21 @@
 
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing, as the request is told that its caller left."""
+
+
+@implementer(IPushProducer)
+class WrittenNotice:
+    """Calls a function once a transport has written what filled its buffer."""
+
+    def __init__(self, notify: Callable[[], None]) -> None:
+        self._notify = notify
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing, as everything is in the transport's buffer."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Tell that everything was written."""
+        self._notify()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing, as the connection's end is told otherwise."""
--- a/src/cactusshunt/node.py
+++ b/src/cactusshunt/node.py
@@ -23,6 +23,8 @@
 from cactusshunt.http1.caller_connection import CallerConnection
 from cactusshunt.http1.connection_pool import ConnectionPool
 from cactusshunt.http1.connection_pool import refuses_connections
+from cactusshunt.http1.memory_budget import BUDGET_FRACTION
+from cactusshunt.http1.memory_budget import MemoryBudget
 from cactusshunt.limits.request_limits import RequestLimits
 from cactusshunt.membership.announcer import DEMAND_INTERVAL_S
 from cactusshunt.membership.announcer import REACH_INTERVAL_S
@@ -119,6 +121,8 @@
         self._stopping_since: float | None = None
         self._caller_ports: list[IListeningPort] = []  # until this VM accepts nothing more
         self._pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
+        memory_bytes = settings.limits.memory_mb * 1e6
+        self._budget = MemoryBudget(limit_bytes=BUDGET_FRACTION * memory_bytes)
         self._order_pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
         self._era = StoreEra(clock=reactor.seconds)
         self._store = self._make_store()
@@ -419,7 +423,7 @@
         factory = Factory()
         factory.noisy = False
         factory.buildProtocol = lambda addr: CallerConnection(  # type: ignore[method-assign]
-            reactor=self._reactor, handler=handler
+            reactor=self._reactor, handler=handler, budget=self._budget
         )
         listening: IListeningPort = self._reactor.listenTCP(
             port, factory, backlog=LISTEN_BACKLOG, interface=host
--- a/src/cactusshunt/platform/boot.py
+++ b/src/cactusshunt/platform/boot.py
@@ -49,6 +49,12 @@
     ttl_min_ms: int = 1000
 
 
+class ProcessLimits(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """Memory in MB beyond which the platform ends the process."""
+
+    memory_mb: float = 300.0
+
+
 class BootSettings(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """Settings of one process; unknown fields are ignored.
 
@@ -66,6 +72,7 @@
     bounds: Bounds = Bounds()
     statsd: str = ""
     bootstrap: bool = False
+    limits: ProcessLimits = ProcessLimits()
 
 
 def find_settings_file() -> Path:
--- a/src/cactusshunt/requests/answer_sink.py
+++ b/src/cactusshunt/requests/answer_sink.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from cactusshunt.http1.memory_budget import MemoryBudget
+from cactusshunt.http1.memory_budget import Reservation
 from cactusshunt.http1.source_gate import PauseReason
 from cactusshunt.platform import headers as names
 from cactusshunt.requests.event_stream import EventSplitter
@@ -40,8 +42,10 @@
         request_id: bytes | None,
         streams: bool,
         clock: Callable[[], float],
+        budget: MemoryBudget | None = None,
     ) -> None:
         self._clock = clock
+        self._memory = Reservation(budget or MemoryBudget())
         self._last_forwarded_at: float | None = None
         self.longest_gap_s = 0.0
         self._connection = connection
@@ -140,14 +144,17 @@
         if not self._forwards_body:
             self._chunks.append(data)
             self._buffered_bytes += len(data)
-            return self._keep_if(self._buffered_bytes <= MAX_BUFFERED_BYTES)
+            fits = self._memory.resize(self._buffered_bytes)
+            return self._keep_if(fits and self._buffered_bytes <= MAX_BUFFERED_BYTES)
         if self._resumes and self.events.goes_back(data):
             self.rejected = True
             return False
         complete = self.events.add(data)
         if complete:
             self._forward(complete)
-        return self._keep_if(len(self.events.incomplete) <= MAX_EVENT_BYTES)
+        incomplete_bytes = len(self.events.incomplete)
+        fits = self._memory.resize(incomplete_bytes)
+        return self._keep_if(fits and incomplete_bytes <= MAX_EVENT_BYTES)
 
     def _keep_if(self, fits: bool) -> bool:
         """Reject an answer that is too large, and drop what was kept of it."""
@@ -155,8 +162,13 @@
             self.rejected = True
             self._chunks = []
             self.events.discard_incomplete()
+            self.release_memory()
         return fits
 
+    def release_memory(self) -> None:
+        """Give back what the latest answer takes, as it is answered or discarded."""
+        self._memory.release()
+
     def hold_events(self) -> int:
         """Hold the first events back, and return a number to release them with."""
         self._hold += 1
@@ -199,6 +211,7 @@
     def reset(self) -> None:
         """Discard an incomplete answer, except for what was already forwarded."""
         self._chunks = []
+        self.release_memory()
         self.status = 0
         self.rejected = False
         self.identified = False
--- a/src/cactusshunt/requests/caller_requests.py
+++ b/src/cactusshunt/requests/caller_requests.py
@@ -146,6 +146,7 @@
                 request_id=request_id,
                 streams=route.streams,
                 clock=self._reactor.seconds,
+                budget=connection.budget,
             ),
         )
         job.sink.on_begin = lambda: _record_begin(job)
@@ -177,6 +178,7 @@
         try:
             await self._relay.run(job)
         finally:
+            job.sink.release_memory()
             self._jobs.discard(job)
             self.detours_in_flight -= job.is_detour
 
