Forget requests that are older than the window of retries

Cause: RetryAllowance drops old requests only when it is asked how many retries are left. Evidence: the new scenario, 3,000 requests in 60 s, fails before with 3,000 of them remembered. They are now dropped as new ones are counted, at most 501 are left.

--- a/src/cactusshunt/requests/retry_allowance.py
+++ b/src/cactusshunt/requests/retry_allowance.py
@@ -35,7 +35,9 @@
 
     def count_request(self, service: str, now: float) -> None:
         """Count a caller's request."""
-        self._requests[service].append(now)
+        times = self._requests[service]
+        times.append(now)
+        self._count_recent(times, now)  # forgets those before the window
 
     def spend(self, service: str, now: float) -> bool:
         """Use one retry; ``False`` if none is left in the window."""
--- a/tests/requests/request_handling.feature
+++ b/tests/requests/request_handling.feature
@@ -18,6 +18,12 @@
     When all VMs restart at once and every request still fails
     Then no window of 10 seconds holds more retries than the limit
 
+  # Guards against memory that grows with each request while none is sent again.
+  Scenario: Requests are forgotten when they are older than the window of retries
+    Given a window of 10 seconds for retries, in which none is sent
+    When 50 requests arrive each second for 60 seconds
+    Then no more than 501 of them are remembered
+
   Scenario: A request for a model that no engine loads is refused soon
     Then a request whose caller waits 1.5 seconds is refused if no load is ordered within 0.35 seconds
     And a request whose caller waits 10 seconds is refused if no load is ordered within 2 seconds
--- a/tests/steps/request_handling_steps.py
+++ b/tests/steps/request_handling_steps.py
@@ -189,3 +189,22 @@
         assert splitter.count == len(events)
 
     check()
+
+
+@given("a window of {seconds:d} seconds for retries, in which none is sent")
+def make_idle_allowance(context: Any, seconds: int) -> None:
+    context.idle_allowance = RetryAllowance(
+        ratio=0.2, window_s=float(seconds), spare=10.0, started_at=0.0
+    )
+
+
+@when("{rate:d} requests arrive each second for {seconds:d} seconds")
+def count_requests(context: Any, rate: int, seconds: int) -> None:
+    for number in range(rate * seconds):
+        context.idle_allowance.count_request("engines", number / rate)
+
+
+@then("no more than {count:d} of them are remembered")
+def check_remembered(context: Any, count: int) -> None:
+    remembered = len(context.idle_allowance._requests["engines"])
+    assert remembered <= count, remembered
