Open the gate for held events only where some are held

The stand-in has check_begin() now, with the same strictness, and a request without held events no longer touches the gate. Found by a run of tests/limits that did not end; the scenario passes now.

--- a/src/cactusshunt/requests/answer_sink.py
+++ b/src/cactusshunt/requests/answer_sink.py
@@ -193,8 +193,9 @@
 
     def drop_held(self) -> None:
         """Discard what is held back, because the request is answered otherwise."""
+        if self._holds:
+            self._connection.gate.open(PauseReason.EVENTS_HELD)
         self._holds = self._finish_due = False
-        self._connection.gate.open(PauseReason.EVENTS_HELD)
         self._held = b""
 
     def finish_stream(self) -> None:
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -225,7 +225,9 @@
             notices=make_notices(vm.reactor),
         ),
         detour=SimpleNamespace(is_needed=lambda job: False),  # type: ignore[arg-type]
-        streams=SimpleNamespace(begin=lambda job, upstream: None),  # type: ignore[arg-type]
+        streams=SimpleNamespace(  # type: ignore[arg-type]
+            begin=lambda job, upstream, abandon: None, check_begin=lambda job, upstream: None
+        ),
         notices=make_notices(vm.reactor, vm.directory),
     )
     job = make_job(5)
