Check in the soak that one node at a time sends orders

The soak did not look at orders: two order holders (docs/incidents/two-order-holders.md) could not show in it.

The stand-in's engine prints who sent an order with which token; a violation is an order after one with a higher token, and a turn within 3 s, except within 0.3 s after a pause or a cut that held orders up. It is not checked beside an earlier build, whose holders may be two.

A check is narrowed: a node counts as told that an upstream leaves only by an answer that came after the upstream had said so.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,6 +31,8 @@
 from soak.guarantees import find_violations
 from soak.notices import SaidNotice
 from soak.notices import read_notices
+from soak.orders import OrderRecord
+from soak.orders import read_orders
 from soak.schedule import Fault
 from soak.schedule import draw_brittle
 from soak.schedule import draw_copies
@@ -124,6 +126,7 @@
             deadly=self._read_deadly(),
             falls=self._read_falls(),
             notices=self._read_notices(),
+            orders=self._read_orders(),
             nodes=[n for n in self._fleet.caller_ports if n not in self._fleet.earlier_nodes],
             instances=sum(name.startswith("s") for name in self._fleet.upstream_ports),
             faults=self._faults,
@@ -342,6 +345,15 @@
             for notice in read_notices(name, self._fleet.read_log(name))
         ]
 
+    def _read_orders(self) -> list[OrderRecord]:
+        if self._fleet.earlier_nodes:  # which may be two holders in an outage of the store
+            return []
+        return [
+            order
+            for name in self._fleet.upstream_ports
+            for order in read_orders(name, self._fleet.read_log(name))
+        ]
+
     def _read_falls(self) -> list[float]:
         return [
             float(line.split()[2])
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -8,12 +8,14 @@
 
 from soak.callers import AT_MOST_ONCE_KINDS
 from soak.notices import find_disregarded
+from soak.orders import find_turns
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from soak.callers import RequestResult
     from soak.notices import SaidNotice
+    from soak.orders import OrderRecord
     from soak.schedule import Fault
 
 NOT_RUN = (408, 421, 429, 503)
@@ -77,7 +79,8 @@
 
     ``overcommitted`` names upstreams that were ordered to load more than fits. ``configured`` holds
     when the operator had written which configuration version; ``falls`` when one of the
-    ``instances`` of plain services fell over because it turned requests away.
+    ``instances`` of plain services fell over because it turned requests away. ``orders`` are those
+    that engines got, none if nodes of an earlier build ran.
     """
 
     results: Sequence[RequestResult]
@@ -93,6 +96,7 @@
     instances: int = 0
     notices: Sequence[SaidNotice] = ()
     nodes: Sequence[str] = ()
+    orders: Sequence[OrderRecord] = ()
 
 
 def find_violations(observations: Observations) -> list[str]:
@@ -110,6 +114,7 @@
         *find_disregarded(
             observations.notices, observations.results, observations.faults, observations.nodes
         ),
+        *find_turns(observations.orders, observations.faults),
         *(
             f"a stream, {found.request_id}, ended as whole before its last event"
             for found in observations.results
--- a/soak/notices.py
+++ b/soak/notices.py
@@ -70,7 +70,8 @@
             if notice.upstream != fault.target or not fault.at <= notice.at <= fault.ends_at:
                 continue
             found = by_id[notice.request_id]
-            if notice.text == LEAVING and found.status:
+            # A node that had answered before the upstream said so has passed nothing on.
+            if notice.text == LEAVING and found.status and found.ended_at >= notice.at:
                 told.setdefault(found.node, found.ended_at)
             begins = told.get(found.node)
             if begins is None or notice.text != LEAVING or found.started_at <= begins + DRAIN_S:
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -30,6 +30,14 @@
       | a leaving engine got a request 15 s after it said so |
       | an engine got 3 requests in a pause           |
       | a stream ended as whole before its last event |
+      | an engine got an order with a lower token |
+      | an engine got orders of two nodes by turns |
+
+  # An upstream that was paused may get a request, and say that it leaves, after the node's answer.
+  Scenario: A node had answered before the upstream said that it leaves
+    Given the observations of a minute without faults
+    When a request that ended at 7 s reaches a leaving engine at 8 s, and another one at 9.5 s
+    Then no violation is detected
 
   Scenario: The same seed draws the same faults
     Given the faults that seed 5 draws for 2 minutes
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -22,6 +22,7 @@
 from soak.guarantees import ObservedVersion
 from soak.guarantees import find_violations
 from soak.notices import SaidNotice
+from soak.orders import OrderRecord
 from soak.schedule import Fault
 from soak.schedule import draw_faults
 
@@ -59,6 +60,10 @@
     return ObservedVersion(node="n1", pid=pid, at=START + number, version=version)
 
 
+def ordered(at: float, owner: str, token: int) -> OrderRecord:
+    return OrderRecord(upstream="e1", owner=owner, token=token, at=START + at)
+
+
 def said(number: int, text: str = "") -> SaidNotice:
     return SaidNotice(upstream="e1", request_id=f"r{number}", at=START + number, text=text)
 
@@ -79,6 +84,22 @@
     )
 
 
+@when("a request that ended at 7 s reaches a leaving engine at 8 s, and another one at 9.5 s")
+def step_late_notice(context: Any) -> None:
+    late = result(5, ended_at=START + 7.0, status=504)
+    after = result(60, started_at=START + 9.5, ended_at=START + 9.6)
+    context.observations = replace(
+        context.observations,
+        results=[*context.observations.results, late, after],
+        faults=[Fault(at=START, kind="leaving", target="e1", duration_s=30.0)],
+        notices=[
+            replace(said(5, "leaving"), at=START + 8.0),
+            replace(said(60, "leaving"), at=START + 9.51),
+        ],
+        nodes=["n1"],
+    )
+
+
 @then("no violation is detected")
 def step_calm_passes(context: Any) -> None:
     assert find_violations(context.observations) == []
@@ -149,6 +170,16 @@
         "a stream ended as whole before its last event": {
             "results": [result(1, kind="stream", complete=False, truncated=True)]
         },
+        "an engine got an order with a lower token": {
+            "orders": [ordered(5, "n1", 7), ordered(6, "n2", 8), ordered(9.5, "n1", 7)]
+        },
+        "an engine got orders of two nodes by turns": {
+            "faults": [Fault(at=START, kind="node_pause", target="n1", duration_s=12.5)],
+            "orders": [
+                *(ordered(5, "n1", 7), ordered(6, "n2", 8), ordered(7.9, "n1", 9)),
+                ordered(12.6, "n2", 8),  # was held up until the pause's end
+            ],
+        },
     }
     for row in context.table:
         changed: Any = cases.pop(row["what"])
