Ask for no joined stream when power is lost after an outage of the store

The scenario allowed two streams with events of two versions, as events were passed on unrecorded while the store was silent.

--- a/tests/steps/stream_version_steps.py
+++ b/tests/steps/stream_version_steps.py
@@ -39,6 +39,7 @@
     context.fleet.clock.callLater(14.0, setattr, context.fleet.store, "down", True)
     context.fleet.clock.callLater(17.0, setattr, context.fleet.store, "down", False)
     context.fleet.run(SECONDS, power_lost_at=[17.1], killed_per_s=0.0)
+    print("taken up", len(context.fleet.list_taken_up()))
 
 
 @when("{vms:d} VMs are cut off from the store or stand still while a new version joins, 10 times")
@@ -99,11 +100,6 @@
     assert context.fleet.joined == 0, context.fleet.joined
 
 
-@then("at most two simulated streams have events of two software versions")
-def check_few_joined(context: Any) -> None:
-    assert context.fleet.joined <= 2, context.fleet.joined
-
-
 @then("nine tenths of those taken up while their version serves go on, or more")
 def check_going_on(context: Any) -> None:
     taken_up = context.fleet.list_taken_up()
--- a/tests/streams/software_versions.feature
+++ b/tests/streams/software_versions.feature
@@ -58,7 +58,7 @@
   Scenario: Simulated VMs lose power after the store was silent
     Given 8 simulated VMs and a service whose upstreams get a new software version
     When the store is silent for 3 seconds and all of them lose power when it is back
-    Then at most two simulated streams have events of two software versions
+    Then no simulated stream has events of two software versions
 
   Scenario: A VM cannot tell which version began a stream
     Given records of two VMs that name different versions for a stream
