--- a/stand_ins/platform_engine.py
+++ b/stand_ins/platform_engine.py
@@ -263,7 +263,8 @@
 
     def _handle_order(self, request: Request) -> Any:
         order = read_json(request)
-        print("order", order["owner"], order["fencingToken"], time.time(), flush=True)
+        if "owner" in order:  # else it is a test that orders
+            print("order", order["owner"], order["fencingToken"], time.time(), flush=True)
         if self._busy or order["expected"] != self._sequence:
             return encode_answer(request, {}, 409)
         if order["operation"] == "load" and order["model"] in self._models:
