--- /dev/null
+++ b/review/harness2/__init__.py
@@ -0,0 +1,3 @@
+"""What the scripts of the second review share: a small deployment, a client and a record."""
+
+from __future__ import annotations
