--- a/review/harness2/rig.py
+++ b/review/harness2/rig.py
@@ -157,9 +157,9 @@
         self.processes[name] = found
         self.record.write("started", process=name, pid=found.pid)
 
-    def start_store(self) -> None:
-        """Start the project's stand-in for the store."""
-        self.start("store", "-m", "stand_ins.platform_store", str(self.store))
+    def start_store(self, *views: str) -> None:
+        """Start the project's stand-in for the store; ``views`` are further ports, see there."""
+        self.start("store", "-m", "stand_ins.platform_store", str(self.store), *views)
 
     def start_service(self, name: str, service: str, models: str = "") -> int:
         """Start the project's stand-in for an engine or a plain service; return its port."""
@@ -168,17 +168,17 @@
         self.start(name, "-m", "stand_ins.platform_engine", *arguments)
         return port
 
-    def start_node(self, name: str) -> None:
-        """Start a node with the command of the deploy file."""
+    def start_node(self, name: str, *, store: int = 0, zone: str = "") -> None:
+        """Start a node with the command of the deploy file; ``store`` is its port of the store."""
         front = self._nodes[name]
         path = Path(self._folder.name) / f"{name}.toml"
         text = SETTINGS.format(
             node=name,
-            zone="east" if int(name[1:]) % 2 else "west",
+            zone=zone or ("east" if int(name[1:]) % 2 else "west"),
             peer=front + 2,
             front=front,
             ready=front + 1,
-            store=self.store,
+            store=store or self.store,
         )
         path.write_text(text, encoding="utf-8")
         self.start(name, "deploy/node.py", str(front + 3), CACTUSSHUNT_BOOT=str(path))
