--- a/review/harness2/rig.py
+++ b/review/harness2/rig.py
@@ -18,6 +18,7 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 PORTS_PER_NODE = 4
+LOWEST_PORT = 16_000  # the scenarios of the tests use those below
 HIGHEST_PORT = 32_000  # outgoing connections may have those above
 START_TIMEOUT_S = 30.0
 LIMIT_S = float(os.environ.get("LIMIT_S", "110"))  # of a whole script
@@ -103,7 +104,7 @@
 def find_ports(count: int) -> int:
     """Return the first of ``count`` neighbouring ports that are free for TCP and UDP."""
     for _ in range(200):
-        first = random.randrange(12_000, HIGHEST_PORT - count)
+        first = random.randrange(LOWEST_PORT, HIGHEST_PORT - count)
         opened = []
         try:
             for port in range(first, first + count):
