--- a/review/harness2/rig.py
+++ b/review/harness2/rig.py
@@ -346,7 +346,7 @@
     try:
         held = asyncio.run(asyncio.wait_for(judge(deployment, trouble), LIMIT_S))
         status = HELD if held else BROKEN
-    except (TimeoutError, CannotRunError, OSError, EOFError, ValueError) as error:
+    except Exception as error:  # an error of the script says nothing of the rule
         record.write("cannot_run", error=repr(error))
     finally:
         deployment.stop()
