--- a/review/8/run.py
+++ b/review/8/run.py
@@ -19,8 +19,9 @@
 OFFSET = 1_000  # of the ports by which the first node reaches the servers
 CONTACT_S = 3.0  # contactMs
 RETRIES = 3  # of the rule: reaches engines in more than three
-DEADLY_GAP_S = 1.6
-DEADLY_REQUESTS = 10
+FIRST_GAP_S = 0.2  # between the first three deadly requests; the others come contactMs later
+DEADLY_GAP_S = 1.3
+DEADLY_REQUESTS = 12
 BACK_S = 2.0  # a crashed server is back after that
 CALM_S = 4.0
 ROUTES = [
@@ -80,7 +81,7 @@
     for port in ports:
         await deployment.call(port, "POST", "/test/deadly", deadly)
     asking = [
-        asyncio.create_task(keep_asking(deployment, node, 0.03 if node == "n1" else 0.3))
+        asyncio.create_task(keep_asking(deployment, node, 0.02 if node == "n1" else 0.3))
         for node in NODES
     ]
     await asyncio.sleep(CALM_S)
@@ -92,7 +93,9 @@
         await asyncio.sleep(0.3)
     for number in range(DEADLY_REQUESTS):
         await post(deployment, "n1", "/a/deadly", f"deadly-{number}")
-        await asyncio.sleep(DEADLY_GAP_S)
+        if number == 2:
+            await asyncio.sleep(CONTACT_S)
+        await asyncio.sleep(FIRST_GAP_S if number < 2 else DEADLY_GAP_S)
     for task in asking:
         task.cancel()
     await asyncio.sleep(BACK_S)
