--- a/review/6/run.py
+++ b/review/6/run.py
@@ -6,8 +6,6 @@
 import sys
 import time
 
-from pathlib import Path
-
 from review.harness2.rig import Client
 from review.harness2.rig import Deployment
 from review.harness2.rig import run_case
@@ -119,4 +117,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).resolve().parent, judge))
+    sys.exit(run_case(judge))
--- a/review/8/run.py
+++ b/review/8/run.py
@@ -7,8 +7,6 @@
 import sys
 import time
 
-from pathlib import Path
-
 from review.harness2.rig import CannotRunError
 from review.harness2.rig import Client
 from review.harness2.rig import Deployment
@@ -124,4 +122,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).resolve().parent, judge, nodes=len(NODES)))
+    sys.exit(run_case(judge, nodes=len(NODES)))
--- a/review/9/run.py
+++ b/review/9/run.py
@@ -5,8 +5,6 @@
 import asyncio
 import sys
 
-from pathlib import Path
-
 from review.harness2.rig import CannotRunError
 from review.harness2.rig import Client
 from review.harness2.rig import Deployment
@@ -79,4 +77,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).resolve().parent, judge))
+    sys.exit(run_case(judge))
--- a/review/harness2/rig.py
+++ b/review/harness2/rig.py
@@ -336,10 +336,18 @@
             self._writer.close()
 
 
-def run_case(folder: Path, judge: Any, *, nodes: int = 1) -> int:
-    """Run ``judge(deployment, trouble)``, which returns whether the rule held."""
-    record = Record(folder / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def run_case(judge: Any, *, nodes: int = 1) -> int:
+    """Run ``judge(deployment, trouble)``, which returns whether the rule held.
+
+    The script's arguments are ``TROUBLE``, 0 for a run without the disruption, and the path of
+    ``record.txt``.
+    """
+    if len(sys.argv) != 3:
+        print("arguments: TROUBLE RECORD", file=sys.stderr)
+        return NOT_RUN
+    trouble = sys.argv[1] != "0"
+    path = Path(sys.argv[2])
+    record = Record(path)
     record.write("begin", trouble=trouble)
     deployment = Deployment(record, nodes=nodes)
     status = NOT_RUN
@@ -351,5 +359,5 @@
     finally:
         deployment.stop()
     record.write("end", status=status)
-    print(f"{folder.name}: {('held', 'broken', 'cannot run')[status]}")
+    print(f"{path.parent.name}: {('held', 'broken', 'cannot run')[status]}")
     return status
