Search each byte of a stream once for the end of its event

Cause: EventSplitter.add searched the whole unfinished event again for each chunk, so that an event costs the square of its length in pieces; goes_back did the same for streams that are taken up. An answer kept whole was a list of chunks, some 40 bytes of memory beside each byte in chunks of one byte.

Change: the search begins 3 bytes before what is new. The order of events is checked where they are completed, instead of in a search of its own. Bodies and held events are one buffer each.

--- a/src/cactusshunt/requests/answer_sink.py
+++ b/src/cactusshunt/requests/answer_sink.py
@@ -51,8 +51,7 @@
         self._connection = connection
         self._request_id = request_id
         self._streams = streams
-        self._chunks: list[bytes] = []
-        self._buffered_bytes = 0
+        self._buffered = bytearray()  # not a list: chunks of a byte would take 40 each
         self._forwards_body = False
         self._content_type = b""  # of the answer of which the caller has a part
         self._resumes = False  # the latest answer should go on with a stream
@@ -71,13 +70,13 @@
         self.extra_headers: Headers = []
         self._hold = 0  # number of the latest hold
         self._holds = False
-        self._held = b""
+        self._held = bytearray()
         self._finish_due = False
 
     @property
     def body(self) -> bytes:
         """Return the buffered body."""
-        return b"".join(self._chunks)
+        return bytes(self._buffered)
 
     @property
     def succeeded(self) -> bool:
@@ -88,7 +87,7 @@
     def unfinished(self) -> bool:
         """Return whether a stream's latest answer cannot be its end."""
         brought_nothing = self._resumes and self.events.count == self._events_before
-        return bool(self.events.incomplete) or brought_nothing
+        return bool(self.events.incomplete_bytes) or brought_nothing
 
     def is_stray(self, headers: Headers) -> bool:
         """Return whether to wait for another answer, since this one belongs to an earlier request.
@@ -110,8 +109,7 @@
         """
         self.status = status
         self.headers = headers
-        self._chunks = []
-        self._buffered_bytes = 0
+        self._buffered = bytearray()
         self._forwards_body = False
         answered = names.find_header(headers, names.REQUEST_ID)
         self.identified = answered is not None and answered == self._request_id
@@ -142,25 +140,23 @@
             on_first_byte, self.on_first_byte = self.on_first_byte, None
             on_first_byte()
         if not self._forwards_body:
-            self._chunks.append(data)
-            self._buffered_bytes += len(data)
-            fits = self._memory.resize(self._buffered_bytes)
-            return self._keep_if(fits and self._buffered_bytes <= MAX_BUFFERED_BYTES)
-        if self._resumes and self.events.goes_back(data):
+            self._buffered += data
+            fits = self._memory.resize(len(self._buffered))
+            return self._keep_if(fits and len(self._buffered) <= MAX_BUFFERED_BYTES)
+        complete = self.events.add(data, in_order=self._resumes)
+        if complete is None:
             self.rejected = True
             return False
-        complete = self.events.add(data)
         if complete:
             self._forward(complete)
-        incomplete_bytes = len(self.events.incomplete)
-        fits = self._memory.resize(incomplete_bytes)
-        return self._keep_if(fits and incomplete_bytes <= MAX_EVENT_BYTES)
+        fits = self._memory.resize(self.events.incomplete_bytes)
+        return self._keep_if(fits and self.events.incomplete_bytes <= MAX_EVENT_BYTES)
 
     def _keep_if(self, fits: bool) -> bool:
         """Reject an answer that is too large, and drop what was kept of it."""
         if not fits:
             self.rejected = True
-            self._chunks = []
+            self._buffered = bytearray()
             self.events.discard_incomplete()
             self.release_memory()
         return fits
@@ -190,9 +186,9 @@
             return
         self._holds = False
         self._connection.gate.open(PauseReason.EVENTS_HELD)
-        held, self._held = self._held, b""
+        held, self._held = self._held, bytearray()
         if held:
-            self._forward(held)
+            self._forward(bytes(held))
         if self._finish_due:
             self.finish_stream()
 
@@ -201,7 +197,7 @@
         if self._holds:
             self._connection.gate.open(PauseReason.EVENTS_HELD)
         self._holds = self._finish_due = False
-        self._held = b""
+        self._held = bytearray()
 
     def finish_stream(self) -> None:
         """End the answer, after forwarding bytes that follow the last complete event, if any."""
@@ -216,7 +212,7 @@
 
     def reset(self) -> None:
         """Discard an incomplete answer, except for what was already forwarded."""
-        self._chunks = []
+        self._buffered = bytearray()
         self.release_memory()
         self.status = 0
         self.rejected = False
--- a/src/cactusshunt/requests/event_stream.py
+++ b/src/cactusshunt/requests/event_stream.py
@@ -5,49 +5,63 @@
 import re
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+MAX_EVENT_END_BYTES = 4  # the longest match of ``_EVENT_END``
 _EVENT_ID = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
 
 
 class EventSplitter:
-    """Returns the complete events of a byte stream; keeps their number and the id of the last."""
+    """Returns the complete events of a byte stream; keeps their number and the id of the last.
+
+    Each byte is searched once, in however small parts it arrives.
+    """
 
     def __init__(self) -> None:
-        self._incomplete = b""
+        self._incomplete = bytearray()
         self.last_id: bytes | None = None
         self.count = 0
 
-    def goes_back(self, data: bytes) -> bool:
-        """Return whether received bytes complete an event that does not follow the last one."""
-        known = self._incomplete + data
-        ends = [found.end() for found in _EVENT_END.finditer(known)]
-        last = self.last_id
-        for event_id in _EVENT_ID.findall(known[: ends[-1]] if ends else b""):
-            if last is not None and not _follows(last, event_id):
-                return True
-            last = event_id
-        return False
-
     @property
     def incomplete(self) -> bytes:
         """Return the bytes of the last event, which is not complete yet."""
-        return self._incomplete
+        return bytes(self._incomplete)
+
+    @property
+    def incomplete_bytes(self) -> int:
+        """Return how many bytes of the last event have arrived, 0 if it is complete."""
+        return len(self._incomplete)
+
+    def add(self, data: bytes, *, in_order: bool = False) -> bytes | None:
+        """Add received bytes and return the events that they complete.
 
-    def add(self, data: bytes) -> bytes:
-        """Add received bytes and return the events that they complete."""
+        With ``in_order`` return ``None``, and record nothing, if one of them does not follow the
+        event before it.
+        """
+        searched = max(0, len(self._incomplete) - MAX_EVENT_END_BYTES + 1)
         self._incomplete += data
-        end = 0
-        for found in _EVENT_END.finditer(self._incomplete):
-            end = found.end()
-            self.count += 1
-        complete, self._incomplete = self._incomplete[:end], self._incomplete[end:]
+        ends = [found.end() for found in _EVENT_END.finditer(self._incomplete, searched)]
+        if not ends:
+            return b""
+        complete = bytes(self._incomplete[: ends[-1]])
+        del self._incomplete[: ends[-1]]
         ids = _EVENT_ID.findall(complete)
+        if in_order and not self._follow_each_other(ids):
+            return None
+        self.count += len(ends)
         if ids:
             self.last_id = ids[-1]
         return complete
 
+    def _follow_each_other(self, ids: list[bytes]) -> bool:
+        last = self.last_id
+        for event_id in ids:
+            if last is not None and not _follows(last, event_id):
+                return False
+            last = event_id
+        return True
+
     def discard_incomplete(self) -> None:
         """Discard an incomplete event; another upstream resumes after the last complete one."""
-        self._incomplete = b""
+        self._incomplete = bytearray()
 
 
 def _follows(last_id: bytes, event_id: bytes) -> bool:
