Parse what upstreams send in bounded turns

With 6 engines that answer 500 with a body without end in chunks of one byte, and 40 callers, all 60 ordinary requests for a sound service were late.

Cause: UpstreamConnection parsed all that a read had brought, 64 KB and up to some 10,000 chunks, before anything else ran, for each connection anew. How long one iteration of the reactor takes was up to the peers.

Change: connections to upstreams, other VMs and the store parse in InputTurns, shared with callers' connections, and merge small chunks as those do. A connection with 16 KB unparsed is not read. Its end counts after what arrived before; with unparsed bytes it is not used again.

Ruled out: a bound for each connection alone, as the number of connections is up to the peers, too.

--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -140,6 +140,10 @@
             log_is_read=log_is_read,
         )
 
+    def start_program(self, name: str, module: str, *arguments: str) -> None:
+        """Start another stand-in, which ends with the deployment."""
+        self._spawn(name, "-m", module, *arguments)
+
     @property
     def newest_version(self) -> int:
         """Return the newest configuration version that was written."""
--- a/src/cactusshunt/http1/caller_connection.py
+++ b/src/cactusshunt/http1/caller_connection.py
@@ -18,6 +18,8 @@
 from cactusshunt.http1.client_guard import ClientGuard
 from cactusshunt.http1.client_guard import ListenerGuard
 from cactusshunt.http1.client_guard import Restriction
+from cactusshunt.http1.input_turns import EVENTS_BETWEEN_CHECKS
+from cactusshunt.http1.input_turns import INPUT_PIECE_BYTES
 from cactusshunt.http1.input_turns import InputTurns
 from cactusshunt.http1.last_response import await_written
 from cactusshunt.http1.memory_budget import MemoryBudget
@@ -39,8 +41,6 @@
 HEAD_TOO_LARGE = 431
 FULL_RETRY_AFTER = b"0.5"  # seconds; bodies are usually read within it
 MAX_EARLY_BYTES = 65_536  # of input that is not parsed yet, such as the next requests
-EVENTS_BETWEEN_CHECKS = 4  # of the clock; a usual request has 3, each takes at most 1.5 ms
-INPUT_PIECE_BYTES = 16_384  # given to the parser at once; usual requests are smaller
 # In process memory: a connection with its parser and timer takes 7 KB by tracemalloc, and a socket;
 # a request in flight about 20 KB (``MAX_JOBS_IN_FLIGHT``), and a connection to an upstream.
 CONNECTION_BYTES = 12_288
--- a/src/cactusshunt/http1/collected_answer.py
+++ b/src/cactusshunt/http1/collected_answer.py
@@ -29,13 +29,12 @@
     def __init__(self) -> None:
         self.status = 0
         self.headers: Headers = []
-        self._parts: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
 
     @property
     def body(self) -> bytes:
         """Return the body received so far."""
-        return b"".join(self._parts)
+        return bytes(self._body)
 
     def is_stray(self, headers: Headers) -> bool:
         """Return ``False``: whose answer it is, is found out by who made the call."""
@@ -54,11 +53,10 @@
 
     def receive_body_part(self, data: bytes) -> bool:
         """Store a part of the body, unless it is too large."""
-        self._body_bytes += len(data)
-        if self._body_bytes > MAX_BODY_BYTES:
-            self._parts = []
+        if len(self._body) + len(data) > MAX_BODY_BYTES:
+            self._body = bytearray()
             return False
-        self._parts.append(data)
+        self._body += data
         return True
 
 
--- a/src/cactusshunt/http1/connection_pool.py
+++ b/src/cactusshunt/http1/connection_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -10,6 +11,7 @@
 from twisted.internet.protocol import Factory
 
 from cactusshunt.exceptions import UpstreamNotReachedError
+from cactusshunt.http1.input_turns import InputTurns
 from cactusshunt.http1.upstream_connection import UpstreamConnection
 
 if TYPE_CHECKING:
@@ -33,10 +35,16 @@
 
 
 class ConnectionPool:
-    """Opens connections and keeps idle ones for reuse; never repeats a request."""
+    """Opens connections and keeps idle ones for reuse; never repeats a request.
 
-    def __init__(self, *, reactor: ReactorBase, connect_timeout_s: float) -> None:
+    ``turns`` bounds the time that parsing takes, together with what else it parses.
+    """
+
+    def __init__(
+        self, *, reactor: ReactorBase, connect_timeout_s: float, turns: InputTurns | None = None
+    ) -> None:
         self._reactor = reactor
+        self._turns = turns or InputTurns(reactor=reactor)
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[Address, list[UpstreamConnection]] = defaultdict(list)
 
@@ -87,7 +95,8 @@
         endpoint = TCP4ClientEndpoint(
             self._reactor, address[0], address[1], timeout=self._connect_timeout_s
         )
-        connection: Any = await endpoint.connect(Factory.forProtocol(UpstreamConnection))
+        make_connection = partial(UpstreamConnection, turns=self._turns)
+        connection: Any = await endpoint.connect(Factory.forProtocol(make_connection))
         return connection  # type: ignore[no-any-return]
 
     def _take_idle(self, address: Address) -> UpstreamConnection | None:
--- a/src/cactusshunt/http1/input_turns.py
+++ b/src/cactusshunt/http1/input_turns.py
@@ -1,6 +1,7 @@
 """Shares the process's time between connections whose input is to be parsed.
 
-Load pattern: many connections send input that is costly to parse, and an ordinary one a request.
+Load pattern: many connections of callers or upstreams send input that is costly to parse, and an
+ordinary one a request or an answer.
 """
 
 from __future__ import annotations
@@ -20,6 +21,8 @@
 # the others use that up.
 HEAVY_S = 0.003
 WINDOW_S = 0.020  # period in which at most TURN_S are spent on input as it arrives
+EVENTS_BETWEEN_CHECKS = 4  # of the clock; a usual request has 3, each takes at most 1.5 ms
+INPUT_PIECE_BYTES = 16_384  # given to the parser at once; usual requests and answers are smaller
 
 
 class Parsing(Interface):
@@ -49,6 +52,10 @@
         self._window_ends = 0.0
         self._spent_s = 0.0
 
+    def now(self) -> float:
+        """Return the reactor time in s, to which connections parse."""
+        return self._reactor.seconds()
+
     def take(self, connection: Parsing) -> None:
         """Parse a connection's input now or in a later turn."""
         if connection.waits_turn:
--- a/src/cactusshunt/http1/upstream_connection.py
+++ b/src/cactusshunt/http1/upstream_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 from collections import deque
 from typing import TYPE_CHECKING
@@ -11,17 +12,23 @@
 
 import h11
 
+from h11._readers import ChunkedReader
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import succeed
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.internet.protocol import connectionDone
 
+from cactusshunt.http1.chunk_reader import MergingChunkReader
+from cactusshunt.http1.input_turns import EVENTS_BETWEEN_CHECKS
+from cactusshunt.http1.input_turns import INPUT_PIECE_BYTES
 from cactusshunt.http1.sockets import tune_socket
 
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
 
+    from cactusshunt.http1.input_turns import InputTurns
+
 Headers = list[tuple[bytes, bytes]]
 MAX_INTERIM_ANSWERS = 16  # 1xx heads before the answer; usually there is none or one
 MAX_STRAY_ANSWERS = 2  # before the answer to a request, each an earlier one written once more
@@ -55,9 +62,18 @@
 
 
 class UpstreamConnection(Protocol):
-    """Sends requests and parses answers with h11; never sends a request twice."""
-
-    def __init__(self) -> None:
+    """Sends requests and parses answers with h11; never sends a request twice.
+
+    ``turns`` bounds the time that parsing takes; without it what arrives is parsed at once.
+    """
+
+    def __init__(self, *, turns: InputTurns | None = None) -> None:
+        self._turns = turns
+        self._unparsed = bytearray()
+        self.waits_turn = False
+        self._paused_by_gate = False
+        self._reading_paused = False
+        self._closed_cleanly = False
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._receiver: AnswerReceiver | None = None
         self._exchange_done: Deferred[ExchangeEnd] | None = None
@@ -129,68 +145,125 @@
 
     def pause_reading(self) -> None:
         """Read nothing more for now, so that the upstream's writes wait."""
-        self._transport_or_fail().pauseProducing()
+        self._paused_by_gate = True
+        self._update_reading()
 
     def resume_reading(self) -> None:
-        """Read on, unless the connection has ended."""
-        if not self._lost and not self._closing:
+        """Read on, unless the connection has ended or much of what arrived is not parsed."""
+        self._paused_by_gate = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        pauses = self._paused_by_gate or len(self._unparsed) >= INPUT_PIECE_BYTES
+        if pauses == self._reading_paused or self._lost or self._closing:
+            return
+        self._reading_paused = pauses
+        if pauses:
+            self._transport_or_fail().pauseProducing()
+        else:
             self._transport_or_fail().resumeProducing()
 
     def abort(self) -> None:
         """Abort the connection; it is never reused."""
         self._closing = True
+        self._unparsed = bytearray()
         transport: Any = self.transport
         if transport is not None and not self._lost:
             transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Parse received bytes; bytes that belong to no request end the connection."""
+        """Parse received bytes, now or in a later turn; those of no request end the connection."""
         if self._closing:
             return
         if self._exchange_done is None:
             self.abort()
             return
-        try:
+        if self._unparsed or self.waits_turn or len(data) > INPUT_PIECE_BYTES:
+            self._unparsed += data
+        else:
             self._http.receive_data(data)
-            self._read_events()
-        except h11.RemoteProtocolError:
-            self._reject_answer()
+        if self._turns is not None:
+            self._turns.take(self)
+        else:
+            self.parse(math.inf)
+        self._update_reading()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        """Determine whether the answer was complete when the connection ended."""
+        """Determine whether the answer was complete, once all that arrived is parsed."""
         self._lost = True
+        self._closed_cleanly = reason.check(ConnectionDone) is not None
+        if not self.waits_turn:
+            self._end_lost_exchange()
+
+    @property
+    def has_much_input(self) -> bool:
+        """Return whether more has arrived than an ordinary answer's part, and is not parsed."""
+        return len(self._unparsed) > INPUT_PIECE_BYTES
+
+    def parse(self, until: float) -> bool:
+        """Parse what arrived, up to a reactor time in s; return whether there is more."""
+        more = False
+        events = 0
+        try:
+            while self._exchange_done is not None and not more:
+                if self._read_event():
+                    events += 1
+                    if self._turns is not None and events % EVENTS_BETWEEN_CHECKS == 0:
+                        more = self._turns.now() >= until
+                elif not self._give_parser_more():
+                    break
+            more = more and self._exchange_done is not None
+        except h11.RemoteProtocolError:
+            self._reject_answer()
+        finally:
+            if self._lost and not more:  # who waits for the answer must not wait for ever
+                self._end_lost_exchange()
+        self._update_reading()
+        return more
+
+    def _give_parser_more(self) -> bool:
+        if not self._unparsed:
+            return False
+        piece = bytes(self._unparsed[:INPUT_PIECE_BYTES])
+        del self._unparsed[:INPUT_PIECE_BYTES]
+        self._http.receive_data(piece)
+        return True
+
+    def _end_lost_exchange(self) -> None:
         if self._exchange_done is None:
             return
         try:
-            if reason.check(ConnectionDone) is not None and self._answer_begun:
+            if self._closed_cleanly and self._answer_begun:
                 self._http.receive_data(b"")
-                self._read_events()
+                while self._exchange_done is not None and self._read_event():
+                    pass
         except h11.RemoteProtocolError:
             pass
-        finally:  # who waits for the answer must not wait for ever
+        finally:
             end = ExchangeEnd.BROKEN if self._answer_begun else ExchangeEnd.UNANSWERED
             self._end_exchange(end)
 
-    def _read_events(self) -> None:
-        while self._exchange_done is not None:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.ConnectionClosed):
-                return
-            if isinstance(event, h11.Response):
-                self._begin_answer(event)
-            elif isinstance(event, h11.InformationalResponse):
-                self._interim_answers += 1
-                if self._interim_answers > MAX_INTERIM_ANSWERS:
-                    self._reject_answer()
-            elif isinstance(event, h11.Data):
-                self._receive_body_part(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                if self._skipping:
-                    self._end_stray_answer()
-                else:
-                    self._end_answer()
+    def _read_event(self) -> bool:
+        """Handle what arrived next; return whether more may follow."""
+        event = self._http.next_event()
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            return False
+        if isinstance(event, h11.ConnectionClosed):
+            return False
+        if isinstance(event, h11.Response):
+            self._begin_answer(event)
+        elif isinstance(event, h11.InformationalResponse):
+            self._interim_answers += 1
+            if self._interim_answers > MAX_INTERIM_ANSWERS:
+                self._reject_answer()
+        elif isinstance(event, h11.Data):
+            self._receive_body_part(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            if self._skipping:
+                self._end_stray_answer()
+            else:
+                self._end_answer()
+        return True
 
     def _receive_body_part(self, data: bytes) -> None:
         assert self._receiver is not None
@@ -203,6 +276,8 @@
 
     def _begin_answer(self, event: h11.Response) -> None:
         assert self._receiver is not None
+        if isinstance(self._http._reader, ChunkedReader):
+            self._http._reader = MergingChunkReader()
         headers = event.headers.raw_items()
         if self._stray_answers < MAX_STRAY_ANSWERS and self._receiver.is_stray(headers):
             self._stray_answers += 1
@@ -241,6 +316,7 @@
         trailing, _closed = self._http.trailing_data
         reusable = (
             not trailing
+            and not self._unparsed
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
             and not self._lost
--- a/src/cactusshunt/node_tasks.py
+++ b/src/cactusshunt/node_tasks.py
@@ -109,12 +109,12 @@
         self._configuration_version = configuration_version
         settings = current_settings()
         bounds = settings.bounds
-        self.pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
+        self.turns = InputTurns(reactor=reactor)
+        self.pool = self._make_pool()
         memory_bytes = settings.limits.memory_mb * 1e6
         self.budget = MemoryBudget(limit_bytes=BUDGET_FRACTION * memory_bytes)
         self.guard = ClientGuard(reactor=reactor, limit_bytes=HELD_FRACTION * memory_bytes)
-        self.turns = InputTurns(reactor=reactor)
-        self.order_pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
+        self.order_pool = self._make_pool()
         self._era = StoreEra(clock=reactor.seconds)
         self._store = self._make_store()
         self._lease_store = self._make_store()
@@ -192,7 +192,7 @@
         )
         self.reach = ServiceReach(
             reactor=reactor,
-            pool=ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S),
+            pool=self._make_pool(),
             directory=self.directory,
             notices=self.notices,
         )
@@ -250,7 +250,7 @@
             prefer_version=self.streams.prefer_version,
             fair_admission=self.picker.fair_admission,
         )
-        self.peer_pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
+        self.peer_pool = self._make_pool()
         detour = Detour(
             reactor=reactor,
             vm=settings.node,
@@ -308,7 +308,7 @@
             grace_s=bounds.grace_s,
             quotas=self.quotas,
         )
-        self.reader_pool = ConnectionPool(reactor=reactor, connect_timeout_s=CONNECT_TIMEOUT_S)
+        self.reader_pool = self._make_pool()
         self.readers = ZoneReaders(
             reactor=reactor,
             vm=settings.node,
@@ -377,8 +377,13 @@
         )
         self.telemetry = NodeTelemetry(read_gauges=self.state.read_gauges, statsd=settings.statsd)
 
+    def _make_pool(self, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> ConnectionPool:
+        return ConnectionPool(
+            reactor=self._reactor, connect_timeout_s=connect_timeout_s, turns=self.turns
+        )
+
     def _make_store(self) -> PlatformStore:
-        pool = ConnectionPool(reactor=self._reactor, connect_timeout_s=STORE_CONNECT_TIMEOUT_S)
+        pool = self._make_pool(STORE_CONNECT_TIMEOUT_S)
         address = split_address(self._current_settings().platform.address)
         return PlatformStore(reactor=self._reactor, address=address, pool=pool, era=self._era)
 
