Let VMs with working links prove crashes for those whose links are cut

Cause: a crash was proven only by a refused connection beside one that another upstream accepts. A VM that gets no new connections found none, and dropped the subjects that the engine had not answered.

Change: it keeps them, and asks two VMs that heard of the service of late (CrashQuestion, message version 8; older builds ignore it). What it kept is joined with any VM's report of that run. A crash before a subject's last completed answer no longer accuses it, also in repeated reports. engine_crashed says how a crash is known; crash_unproven is new.

Ruled out: that all connections to a run end at once, which a cut does as well.

--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -280,6 +280,22 @@
     forward_in_zone: bool = False
 
 
+class CrashQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="x", array_like=True):
+    """Asks whether an engine crashed whose connection broke while a VM's links may be cut.
+
+    ``parts`` are those of the requests that the engine had not answered to the VM. Who finds that
+    it crashed reports it with them; else there is no answer. The other fields are as in
+    ``CrashReport``.
+    """
+
+    vm: str
+    service: str
+    upstream: str
+    born: int
+    version: str
+    parts: list[str]
+
+
 class PartReport(msgspec.Struct, frozen=True, kw_only=True, tag="a", array_like=True):
     """What one VM knows or does about parts of prompts to a service.
 
@@ -368,6 +384,7 @@
     | QuotaGrant
     | QuotaDoubt
     | CrashReport
+    | CrashQuestion
     | PartReport
     | ConvictedPart
     | NoticeReport
--- a/src/cactusshunt/membership/peer_link.py
+++ b/src/cactusshunt/membership/peer_link.py
@@ -14,6 +14,7 @@
 from cactusshunt.decisions.election_order import VmSizeField  # noqa: TC001 msgspec reads it
 from cactusshunt.membership.broadcast import choose_forwarders
 from cactusshunt.membership.messages import ConvictedPart
+from cactusshunt.membership.messages import CrashQuestion
 from cactusshunt.membership.messages import CrashReport
 from cactusshunt.membership.messages import DemandReport
 from cactusshunt.membership.messages import LimitReport
@@ -56,6 +57,7 @@
     QuotaGrant: "quotas",
     QuotaDoubt: "quota_doubts",
     CrashReport: "crashes",
+    CrashQuestion: "crash_questions",
     PartReport: "parts",
     ConvictedPart: "convictions",
     NoticeReport: "notices",
@@ -65,15 +67,16 @@
 # What a VM's messages include beyond status, demand and placement: 1 nothing, 2 request limits,
 # 3 also crashes of engines; 4: the VM also accepts requests that others pass on; 5 also what
 # upstreams say of themselves; 6 also quotas of customers, and the customer of requests that are
-# passed on; 7 also the work of whole zones. Questions of new order holders need none: VMs of
-# earlier builds ignore them.
-MESSAGE_VERSION = 7
+# passed on; 7 also the work of whole zones; 8 also questions on crashes of engines. Questions of
+# new order holders need none: VMs of earlier builds ignore them.
+MESSAGE_VERSION = 8
 LIMITS_MESSAGE_VERSION = 2
 CRASHES_MESSAGE_VERSION = 3
 DETOUR_MESSAGE_VERSION = 4
 NOTICES_MESSAGE_VERSION = 5
 CUSTOMERS_MESSAGE_VERSION = 6
 ZONE_WORK_MESSAGE_VERSION = 7
+CRASH_QUESTIONS_MESSAGE_VERSION = 8
 NEEDED_MESSAGE_VERSION: dict[type[Message], int] = {
     LimitReport: LIMITS_MESSAGE_VERSION,
     CrashReport: CRASHES_MESSAGE_VERSION,
@@ -202,6 +205,10 @@
         """Return the peers that understand customers and their quotas."""
         return self._list_peers_from(CUSTOMERS_MESSAGE_VERSION)
 
+    def list_crash_question_peers(self) -> list[str]:
+        """Return the peers that check an engine for a VM whose links may be cut."""
+        return self._list_peers_from(CRASH_QUESTIONS_MESSAGE_VERSION)
+
     def _list_peers_from(self, message_version: int) -> list[str]:
         return [
             vm for vm, peer in self._peers.items() if peer.record.message_version >= message_version
--- a/src/cactusshunt/node_tasks.py
+++ b/src/cactusshunt/node_tasks.py
@@ -32,6 +32,7 @@
 from cactusshunt.membership.membership_task import MembershipTask
 from cactusshunt.membership.messages import Broadcast
 from cactusshunt.membership.messages import ConvictedPart
+from cactusshunt.membership.messages import CrashQuestion
 from cactusshunt.membership.messages import CrashReport
 from cactusshunt.membership.messages import DemandReport
 from cactusshunt.membership.messages import LimitReport
@@ -283,6 +284,7 @@
             ),
         )
         self.quarantine.on_crash = relay.record_crash
+        self.quarantine.list_helpers = self.reach.list_helpers
         self._handlers: dict[type[Message], Callable[[Any], None]] = {
             Status: self._handle_status,
             ZoneWork: self.summaries.apply_message,
@@ -295,6 +297,7 @@
             QuotaGrant: self.quotas.apply_message,
             QuotaDoubt: self.quotas.apply_message,
             CrashReport: self.quarantine.apply_message,
+            CrashQuestion: self.quarantine.apply_message,
             PartReport: self.quarantine.apply_message,
             ConvictedPart: self.quarantine.apply_message,
             NoticeReport: self.notices.apply_message,
--- a/src/cactusshunt/quarantine/crash_check.py
+++ b/src/cactusshunt/quarantine/crash_check.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 from typing import TYPE_CHECKING
 
 from twisted.internet.defer import Deferred
@@ -23,20 +25,32 @@
 ACCEPT_S = 0.04  # a relay in front of an engine accepts connections, and closes them within it
 
 
-async def has_crashed(
+class EngineState(enum.Enum):
+    """What new connections say of an engine whose connection broke."""
+
+    CRASHED = "it refuses connections or closes them, and another upstream accepts one"
+    ALIVE = "it accepts connections, or its host does not answer while another one does"
+    UNKNOWN = "no upstream accepts a connection: this VM's links may be cut"
+
+
+async def check_engine(
     reactor: ReactorBase, pool: ConnectionPool, address: Address, others: Sequence[Address]
-) -> bool:
-    """Return whether an engine whose connection broke refuses new ones, or closes them at once.
+) -> EngineState:
+    """Return the state of an engine whose connection broke.
 
-    An engine that does not answer at all is cut off or silent, which is not told apart here. If
-    none of the ``others`` can be connected to either, this VM's links may be cut.
+    Without ``others`` to compare it with, an engine that refuses connections counts as crashed. One
+    whose host does not answer is cut off or silent, which is not told apart here.
     """
     await pause(reactor, SETTLE_S)
     checks = [
         Deferred.fromCoroutine(_is_closed(reactor, pool, each)) for each in (address, *others)
     ]
     closed, *others_closed = await gatherResults(checks)
-    return closed is True and (not others or False in others_closed)
+    if closed is False:
+        return EngineState.ALIVE
+    if others and False not in others_closed:
+        return EngineState.UNKNOWN
+    return EngineState.CRASHED if closed else EngineState.ALIVE
 
 
 async def _is_closed(reactor: ReactorBase, pool: ConnectionPool, address: Address) -> bool | None:
--- a/src/cactusshunt/quarantine/crash_evidence.py
+++ b/src/cactusshunt/quarantine/crash_evidence.py
@@ -105,8 +105,13 @@
         return subject in self._suspects or subject in self.convictions
 
     def record_crash(self, crash: Crash, subjects: Iterable[Subject], at: float) -> None:
-        """Record the subjects of requests that an engine had not answered when it crashed."""
+        """Record the subjects of requests that an engine had not answered when it crashed.
+
+        Those on which an answer was completed since are sound.
+        """
         for subject in subjects:
+            if self._find_completed(subject).get(subject, float("-inf")) >= at:
+                continue
             suspect = self._suspects.setdefault(subject, _Suspect())
             suspect.crashes.setdefault(crash.run, (at, crash.version))
             self._suspects.move_to_end(subject)
--- a/src/cactusshunt/quarantine/engine_crashes.py
+++ b/src/cactusshunt/quarantine/engine_crashes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 from collections import OrderedDict
 from collections import deque
 from typing import TYPE_CHECKING
@@ -9,14 +11,19 @@
 
 import msgspec
 
+from cactusshunt.membership.messages import CrashQuestion
 from cactusshunt.membership.messages import CrashReport
 from cactusshunt.membership.tenure import STORE_SILENCE_S
 from cactusshunt.node_log import log_event
-from cactusshunt.quarantine.crash_check import has_crashed
+from cactusshunt.quarantine.crash_check import EngineState
+from cactusshunt.quarantine.crash_check import check_engine
 from cactusshunt.quarantine.crash_evidence import Crash
 from cactusshunt.quarantine.subject import MAX_LISTED
 from cactusshunt.quarantine.subject import MAX_PARTS_PER_REPORT
+from cactusshunt.quarantine.subject import Subject
 from cactusshunt.quarantine.subject import list_subjects
+from cactusshunt.quarantine.unproven_crashes import UnprovenCrashes
+from cactusshunt.tasks.periodic import pause
 from cactusshunt.tasks.periodic import start_coroutine
 
 if TYPE_CHECKING:
@@ -28,7 +35,6 @@
     from cactusshunt.http1.connection_pool import Address
     from cactusshunt.http1.connection_pool import ConnectionPool
     from cactusshunt.quarantine.crash_evidence import CrashEvidence
-    from cactusshunt.quarantine.subject import Subject
     from cactusshunt.requests.job import Job
     from cactusshunt.routing.upstream import Upstream
     from cactusshunt.routing.upstream_directory import UpstreamDirectory
@@ -44,18 +50,32 @@
 # check to see whether its own links work.
 CONTROLS = 2
 MAX_CHECK_WAIT_S = 0.1  # longest time that a request waits for the check of its engine
+# Until a VM that was asked has answered: its own check takes 0.06 s, and a datagram each way.
+ANSWER_WAIT_S = 0.1
+
+
+class Proof(enum.Enum):
+    """How this VM knows of a crash, in its log."""
+
+    CONNECTIONS = "it refuses connections"
+    NEXT_START = "its entry shows the next start"
+    PEER = "another VM reported it"
 
 
 def _find_run(report: CrashReport) -> tuple[str, int]:
     return report.upstream, report.born
 
 
+def _is_leaving(upstream: Upstream) -> bool:
+    return upstream.removed_at is not None or not upstream.ready
+
+
 class EngineCrashes:
     """Checks engines that broke connections, and keeps the crashes that this VM knows of.
 
     ``accuse`` is called with the subjects that an engine had not answered when it crashed,
     ``on_crash`` with an engine that this VM found to have crashed, and ``on_change`` when requests
-    that wait may go on.
+    that wait may go on. ``ask`` sends a question to VMs whose links may work.
     """
 
     def __init__(
@@ -72,7 +92,9 @@
         accuse: Callable[[list[Subject]], None],
         on_crash: Callable[[Upstream], None],
         on_change: Callable[[], None],
+        ask: Callable[[CrashQuestion], None],
     ) -> None:
+        self._ask = ask
         self._measure_store_silence_s = measure_store_silence_s
         self._reactor = reactor
         self._vm = vm
@@ -85,6 +107,8 @@
         self._on_crash = on_crash
         self._on_change = on_change
         self._checks: dict[tuple[str, int], set[Subject]] = {}
+        self._own_checks: set[tuple[str, int]] = set()  # not only for a VM that asked
+        self._unproven = UnprovenCrashes(directory=directory)
         self._undecided: dict[int, tuple[tuple[str, int], float]] = {}
         self._crashed_runs: OrderedDict[tuple[str, int], tuple[Crash, float]] = OrderedDict()
         # Runs that crashed, and then answered, with the time of the crash: a run may crash again.
@@ -96,6 +120,11 @@
         """Whether the check of any engine is in progress."""
         return bool(self._checks)
 
+    @property
+    def has_unproven(self) -> bool:
+        """Whether any engine may have crashed while this VM's links were cut."""
+        return not self._unproven.is_empty
+
     def is_checked(self, run: tuple[str, int]) -> bool:
         """Return whether the check of a run of an engine is in progress."""
         return run in self._checks
@@ -120,21 +149,57 @@
         self, upstream: Upstream, run: tuple[str, int], job: Job, unanswered: list[Job]
     ) -> None:
         """Find out whether an upstream crashed under requests, unless it was leaving anyway."""
-        is_leaving = upstream.removed_at is not None or not upstream.ready
-        if is_leaving or any(_find_run(report) == run for _, report in self._own_reports):
+        if _is_leaving(upstream) or self._has_reported(run):
             return
         subjects = {subject for found in (job, *unanswered) for subject in list_subjects(found)}
         if run in self._crashed_runs:  # another VM has found out
-            self._report_crash(self._crashed_runs[run][0], job.service, subjects)
+            self._report_crash(self._crashed_runs[run][0], job.service, subjects, Proof.PEER)
             return
         self._undecided[id(job)] = (run, self._now() + MAX_CHECK_WAIT_S)
+        self._own_checks.add(run)
         known = self._checks.get(run)
         if known is not None:
             known |= subjects
+            self._unproven.extend(run, subjects)
             return
-        self._checks[run] = subjects
         crash = Crash(upstream=run[0], born=run[1], version=str(upstream.entry.version))
-        start_coroutine(self._confirm_crash(upstream, crash, job.service))
+        self._begin_check(upstream, crash, job.service, subjects)
+
+    def answer(self, question: CrashQuestion) -> None:
+        """Check an engine for a VM whose links may be cut; a crash is reported to all VMs."""
+        crash = Crash(upstream=question.upstream, born=question.born, version=question.version)
+        subjects = {Subject(service=question.service, name=name) for name in question.parts}
+        found = self._directory.find(crash.upstream)
+        if found is None or found.entry.born != crash.born or _is_leaving(found):
+            return
+        if self._has_reported(crash.run):
+            return  # the VM that asks adds its own subjects to that report
+        if crash.run in self._crashed_runs:
+            self._report_crash(crash, question.service, subjects, Proof.PEER)
+        elif crash.run in self._checks:
+            self._checks[crash.run] |= subjects
+        else:
+            self._begin_check(found, crash, question.service, subjects)
+
+    def find_next_starts(self) -> None:
+        """Report the runs in question whose engines have started again."""
+        for unproven in self._unproven.take_ended(self._now()):
+            self._report_crash(
+                unproven.crash,
+                unproven.service,
+                unproven.subjects,
+                Proof.NEXT_START,
+                unproven.broke_at,
+            )
+
+    def _begin_check(
+        self, upstream: Upstream, crash: Crash, service: str, subjects: set[Subject]
+    ) -> None:
+        self._checks[crash.run] = subjects
+        start_coroutine(self._confirm_crash(upstream, crash, service))
+
+    def _has_reported(self, run: tuple[str, int]) -> bool:
+        return any(_find_run(report) == run for _, report in self._own_reports)
 
     def record_answer(self, run: tuple[str, int], job: Job) -> None:
         """Doubt the crash of a run that has answered a request that was sent after it."""
@@ -142,14 +207,18 @@
         if crashed is not None and (job.last_sent_at or 0.0) > crashed[1]:
             self._doubt_crash(crashed[0], crashed[1], job.service)
 
-    def record(self, crash: Crash, subjects: list[Subject], at: float) -> None:
+    def record(
+        self, crash: Crash, subjects: list[Subject], at: float, proof: Proof = Proof.PEER
+    ) -> None:
         """Record a crash, and the subjects that the engine had not answered."""
+        unproven = self._unproven.take(crash.run)
         if crash.run not in self._crashed_runs:
             log_event(
                 "engine_crashed",
                 upstream=crash.upstream,
                 version=crash.version,
                 parts=[subject.name for subject in subjects[:MAX_LISTED]],
+                proof=proof.value,
             )
             self._crashed_runs[crash.run] = (crash, at)
             if len(self._crashed_runs) > MAX_RUNS:
@@ -157,6 +226,9 @@
         self._evidence.record_crash(crash, subjects, at)
         self._accuse(subjects)
         self._on_change()
+        unreported = unproven.subjects.difference(subjects) if unproven is not None else set()
+        if unproven is not None and unreported:
+            self._report_crash(crash, unproven.service, unreported, proof, at)
 
     def void(self, crash: Crash) -> None:
         """Forget a crash, so that a later one of the same run of the engine counts."""
@@ -176,14 +248,40 @@
     async def _confirm_crash(self, upstream: Upstream, crash: Crash, service: str) -> None:
         others = self._list_other_addresses(upstream)
         try:
-            has_ended = await has_crashed(self._reactor, self._pool, upstream.address, others)
+            state = await check_engine(self._reactor, self._pool, upstream.address, others)
+            if state is EngineState.UNKNOWN and crash.run in self._own_checks:
+                self._question(crash, service)
+                await pause(self._reactor, ANSWER_WAIT_S)
         finally:
             subjects = self._checks.pop(crash.run)
-        if not has_ended:
+            self._own_checks.discard(crash.run)
+        if state is EngineState.CRASHED:
+            self._on_crash(upstream)
+            self._report_crash(crash, service, subjects, Proof.CONNECTIONS)
+        else:
             self._on_change()
+
+    def _question(self, crash: Crash, service: str) -> None:
+        """Keep a run that may have crashed, and ask VMs whose links may work about it.
+
+        What it left unanswered and is found until they have answered is kept with it as well.
+        """
+        subjects = self._checks[crash.run]
+        if not self._unproven.add(crash, service, subjects, self._now()):
             return
-        self._on_crash(upstream)
-        self._report_crash(crash, service, subjects)
+        log_event("crash_unproven", upstream=crash.upstream, version=crash.version)
+        names = [subject.name for subject in sorted(subjects)]
+        for begin in range(0, len(names), MAX_PARTS_PER_REPORT):
+            self._ask(
+                CrashQuestion(
+                    vm=self._vm,
+                    service=service,
+                    upstream=crash.upstream,
+                    born=crash.born,
+                    version=crash.version,
+                    parts=names[begin : begin + MAX_PARTS_PER_REPORT],
+                )
+            )
 
     def _list_other_addresses(self, upstream: Upstream) -> list[Address]:
         """Return the addresses of some other upstreams that are not known to have crashed."""
@@ -236,16 +334,25 @@
             alive=alive,
         )
 
-    def _report_crash(self, crash: Crash, service: str, subjects: set[Subject]) -> None:
-        now = self._now()
+    def _report_crash(
+        self,
+        crash: Crash,
+        service: str,
+        subjects: set[Subject],
+        proof: Proof,
+        crashed_at: float | None = None,
+    ) -> None:
+        """Record a crash at a time, by default now, and tell the other VMs."""
+        at = self._now() if crashed_at is None else crashed_at
         names = [subject.name for subject in sorted(subjects)]
-        self.record(crash, sorted(subjects), now)
+        self.record(crash, sorted(subjects), at, proof)
         for begin in range(0, max(1, len(names)), MAX_PARTS_PER_REPORT):
             part_names = names[begin : begin + MAX_PARTS_PER_REPORT]
             report = self._make_report(crash, service, part_names)
-            self._own_reports.append((now, report))
-            self._broadcast(report)
-            self._reactor.callLater(REPEAT_S, self._repeat_report, now, report)
+            self._own_reports.append((at, report))
+            age_ms = int((self._now() - at) * 1000)
+            self._broadcast(msgspec.structs.replace(report, age_ms=age_ms))
+            self._reactor.callLater(REPEAT_S, self._repeat_report, at, report)
 
     def _repeat_report(self, crashed_at: float, report: CrashReport) -> None:
         if any(kept is report for _, kept in self._own_reports):  # else the crash was voided
--- a/src/cactusshunt/quarantine/quarantine.py
+++ b/src/cactusshunt/quarantine/quarantine.py
@@ -18,6 +18,7 @@
 
 from cactusshunt.decisions.rendezvous import rank_nodes
 from cactusshunt.membership.messages import ConvictedPart
+from cactusshunt.membership.messages import CrashQuestion
 from cactusshunt.membership.messages import CrashReport
 from cactusshunt.membership.messages import PartReport
 from cactusshunt.quarantine.completion_reports import CompletionReports
@@ -28,6 +29,7 @@
 from cactusshunt.quarantine.crash_evidence import CrashEvidence
 from cactusshunt.quarantine.crash_evidence import Verdict
 from cactusshunt.quarantine.engine_crashes import MAX_CHECK_WAIT_S
+from cactusshunt.quarantine.engine_crashes import REPEAT_S
 from cactusshunt.quarantine.engine_crashes import EngineCrashes
 from cactusshunt.quarantine.probe_claims import SETTLE_S
 from cactusshunt.quarantine.probes import Probes
@@ -52,6 +54,7 @@
 
 MAX_HOLD_S = 1.0  # a request waits this long until another one with the subject is answered
 RETRY_AFTER_S = 0.5  # most answers are complete by then
+ASKED_VMS = 2  # about an engine that may have crashed; one of them may be cut off as well
 SURVIVAL_S = 0.5  # after its first byte; what crashes an upstream does so as it begins
 
 # Why a request is not sent: whether the whole request is the cause, and the verdict.
@@ -90,7 +93,8 @@
 class Quarantine:
     """Admits requests, gathers evidence from their ends, and shares it with the other VMs.
 
-    ``on_crash`` is called with an engine that was found to have crashed.
+    ``on_crash`` is called with an engine that was found to have crashed; ``list_helpers`` returns
+    the VMs that heard of a service of late.
     """
 
     def __init__(
@@ -148,10 +152,12 @@
             accuse=self._convictions.accuse,
             on_crash=lambda upstream: self.on_crash(upstream),
             on_change=self._wake,
+            ask=self._ask,
         )
         self._waiting: list[Deferred[None]] = []
         self._known_peers: frozenset[str] = frozenset()
         self.on_crash: Callable[[Upstream], None] = lambda upstream: None
+        self.list_helpers: Callable[[str], list[str]] = lambda service: []
 
     async def admit(self, job: Job) -> Block | None:
         """Return ``None`` once a request may be sent, or why it may not.
@@ -260,7 +266,9 @@
             self._probes.release(job)
 
     @singledispatchmethod
-    def apply_message(self, message: CrashReport | PartReport | ConvictedPart) -> None:
+    def apply_message(
+        self, message: CrashReport | CrashQuestion | PartReport | ConvictedPart
+    ) -> None:
         """Apply another VM's message."""
         raise TypeError(type(message))
 
@@ -275,6 +283,10 @@
         delay_s = self._random.uniform(0.0, MAX_REPLY_DELAY_S)
         self._reactor.callLater(delay_s, self._completions.report, subjects)
 
+    @apply_message.register
+    def _apply_question(self, question: CrashQuestion) -> None:
+        self._crashes.answer(question)
+
     @apply_message.register
     def _apply_subject_report(self, report: PartReport) -> None:
         now = self._now()
@@ -312,6 +324,7 @@
         new_peers, self._known_peers = peers - self._known_peers, peers
         if new_peers and not self._evidence.is_empty:
             self._inform(sorted(new_peers), now)
+        self._crashes.find_next_starts()
         self._convictions.end_expired(now)
 
     def describe(self, now: float) -> list[dict[str, Any]]:
@@ -354,7 +367,7 @@
         parts = list_shared_parts(job) if end is AttemptEnd.ANSWERED else ()
         self._crashes.record_answer(run, job)
         suspected = [subject for subject in parts if self._record_completion(subject, now)]
-        if not self._evidence.is_empty:
+        if not self._evidence.is_empty or self._crashes.has_unproven:
             request = identify_request(job)
             if self._record_completion(request, now):
                 suspected.append(request)
@@ -373,6 +386,14 @@
         for conviction in self._evidence.convictions.values():
             self._link.send(self._convictions.describe_conviction(conviction), peers)
 
+    def _ask(self, question: CrashQuestion) -> None:
+        """Send a question, twice, to VMs that heard of the service of late, else to any."""
+        peers = self._link.list_crash_question_peers()
+        helpers = sorted(set(self.list_helpers(question.service)) & set(peers)) or sorted(peers)
+        asked = self._random.sample(helpers, min(ASKED_VMS, len(helpers)))
+        self._link.send(question, asked)
+        self._reactor.callLater(REPEAT_S, self._link.send, question, asked)
+
     def _rank(self, subject: Subject) -> int:
         return rank_nodes([self._vm, *self._link.peers], subject.name).index(self._vm)
 
--- a/tests/steps/deadly_load.py
+++ b/tests/steps/deadly_load.py
@@ -45,10 +45,16 @@
 
 
 class DeadlyLoad:
-    """Sends requests through one node after the other and gathers what upstreams saw."""
+    """Sends requests through one node after the other and gathers what upstreams saw.
 
-    def __init__(self, *, deployment: PlatformDeployment, upstreams: list[str]) -> None:
+    Deadly ones go through ``deadly_node`` if one is named.
+    """
+
+    def __init__(
+        self, *, deployment: PlatformDeployment, upstreams: list[str], deadly_node: str = ""
+    ) -> None:
         self._deployment = deployment
+        self._deadly_node = deadly_node
         self._upstreams = upstreams
         self.answers: list[Answer] = []
         self.began_at = 0.0
@@ -59,20 +65,22 @@
         self,
         *,
         sound_per_s: float,
-        deadly_per_s: float,
+        deadly_at: list[float],
         seconds: float,
         make_sound: Callable[[int], Request],
         make_deadly: Callable[[int], Request],
     ) -> None:
-        """Send sound requests for ``CALM_S``, then both kinds for ``seconds``."""
+        """Send sound requests for ``CALM_S``, then both kinds for ``seconds``.
+
+        Deadly ones are sent at times in seconds after the calm.
+        """
         self.began_at = time.time()
         schedule = [
             (number / sound_per_s, make_sound, number, False)
             for number in range(int(sound_per_s * (CALM_S + seconds)))
         ]
         schedule += [
-            (CALM_S + number / deadly_per_s, make_deadly, number, True)
-            for number in range(int(deadly_per_s * seconds))
+            (CALM_S + at, make_deadly, number, True) for number, at in enumerate(deadly_at)
         ]
         with ThreadPoolExecutor(80) as pool:
             for due_s, make, number, deadly in sorted(schedule, key=lambda entry: entry[0]):
@@ -103,6 +111,8 @@
 
     def _send(self, number: int, request: Request, deadly: bool) -> None:
         ports = list(self._deployment.caller_ports.values())
+        if deadly and self._deadly_node:
+            ports = [self._deployment.caller_ports[self._deadly_node]]
         headers = {
             "Host": "h",
             "X-Request-Id": request.request_id,
--- a/tests/steps/deadly_part_steps.py
+++ b/tests/steps/deadly_part_steps.py
@@ -58,7 +58,7 @@
     context.load = DeadlyLoad(deployment=context.nodes, upstreams=engines)
     context.load.run(
         sound_per_s=sound,
-        deadly_per_s=deadly,
+        deadly_at=[number / deadly for number in range(deadly * s)],
         seconds=s,
         make_sound=lambda number: make_request(number, f"b{number % SUBJECTS}"),
         make_deadly=lambda number: make_request(number, DEADLY_PART),
--- a/tests/steps/deadly_request_steps.py
+++ b/tests/steps/deadly_request_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import threading
 import uuid
 
 from typing import Any
@@ -10,11 +11,14 @@
 from behave import given
 from behave import then
 from behave import when
+from deadly_load import CALM_S
 from deadly_load import DeadlyLoad
 from deadly_load import Request
 
 from local.platform_deployment import PlatformDeployment
 from local.ports import offset_port
+from soak.faulty_link import LinkMode
+from soak.fleet import SoakFleet
 
 FIRST_PORT = offset_port(10300)
 LARGE_BODY = "0123456789abcdef" * 12_288  # 196 KB
@@ -45,6 +49,23 @@
     deployment.start()
 
 
+@given("{nodes:d} nodes, each with links of its own to {instances:d} instances of a plain service")
+def start_linked_nodes(context: Any, nodes: int, instances: int) -> None:
+    fleet = SoakFleet(first_port=FIRST_PORT, nodes=nodes)
+    fleet.upstream_ports = {f"s{n + 1}": FIRST_PORT + 20 + n for n in range(instances)}
+    context.nodes = fleet
+    context.cleanups = [*getattr(context, "cleanups", []), fleet.stop]
+    fleet.start()
+
+
+@when("node {node} gets no new connections to upstreams, while its open ones live on")
+def refuse_new_connections(context: Any, node: str) -> None:
+    context.deadly_node = node
+    timer = threading.Timer(CALM_S, context.nodes.cut_off, [node, LinkMode.REFUSE])
+    context.cleanups.append(timer.cancel)
+    timer.start()
+
+
 def make_request(kind: str, name: str) -> Request:
     """Return a request with a new ID; those of one name are alike but for that."""
     path, method, streams, chunk_bytes = KINDS[kind]
@@ -71,16 +92,35 @@
     "and each {gap:g} s one {kind} that is deadly"
 )
 def send_deadly(context: Any, sound: int, s: int, gap: float, kind: str) -> None:
+    send_at(context, sound, s, kind, [gap * number for number in range(int(s / gap))])
+
+
+@when(
+    "{sound:d} sound requests come each second for {s:d} seconds, and a {kind} that is deadly "
+    "3 times in 0.6 s, and each {gap:g} s from {begin:g} s on"
+)
+def send_deadly_quickly(
+    context: Any, sound: int, s: int, kind: str, gap: float, begin: float
+) -> None:
+    later = [begin + gap * number for number in range(int((s - begin) / gap))]
+    send_at(context, sound, s, kind, [0.0, 0.3, 0.6, *later])
+
+
+def send_at(context: Any, sound: int, s: int, kind: str, deadly_at: list[float]) -> None:
     path, _, streams, _ = KINDS[kind]
     prefix = "e" if streams else "s"
     upstreams = [name for name in context.nodes.upstream_ports if name.startswith(prefix)]
     for upstream in upstreams:
         context.nodes.set_deadly_path(upstream, f"{path}deadly")
     sound_kind = kind if streams else "GET that may be repeated"
-    context.load = DeadlyLoad(deployment=context.nodes, upstreams=upstreams)
+    context.load = DeadlyLoad(
+        deployment=context.nodes,
+        upstreams=upstreams,
+        deadly_node=getattr(context, "deadly_node", ""),
+    )
     context.load.run(
         sound_per_s=sound,
-        deadly_per_s=1.0 / gap,
+        deadly_at=deadly_at,
         seconds=s,
         make_sound=lambda number: make_request(sound_kind, f"sound{number}"),
         make_deadly=lambda number: make_request(kind, "deadly"),
--- a/tests/steps/quarantine_steps.py
+++ b/tests/steps/quarantine_steps.py
@@ -55,6 +55,44 @@
         run.run(seconds, deadly_from=1.0, crashes_per_s=0.0, deadly_requests=count)
 
 
+@when(
+    "{cut:d} of the VMs get no new connections, and a deadly {kind} request comes there "
+    "for {seconds:d} seconds, in {seeds:d} runs"
+)
+def run_refused(context: Any, cut: int, kind: str, seconds: int, seeds: int) -> None:
+    context.runs = [context.make(seed) for seed in range(seeds)]
+    for run in context.runs:
+        run.kind = KINDS[kind]
+        run.deadly_vms = list(run.vms)[:cut]
+        run.refused = set(run.deadly_vms)
+        run.run(seconds, deadly_from=1.0, crashes_per_s=0.0, deadly_requests=1)
+
+
+@when(
+    "all connections of {cut:d} of the VMs are reset each second and new ones refused, "
+    "for {seconds:d} seconds, in {seeds:d} runs"
+)
+def run_reset(context: Any, cut: int, seconds: int, seeds: int) -> None:
+    context.runs = [context.make(seed) for seed in range(seeds)]
+    for run in context.runs:
+        run.refused = set(list(run.vms)[:cut])
+        for _ in range(seconds):
+            run.run(1.0, deadly_from=NEVER, crashes_per_s=0.0, repeated_per_s=20.0)
+            for vm in run.refused:
+                run.reset_links(vm)
+        run.run(1.0, deadly_from=NEVER, crashes_per_s=0.0)
+
+
+@then("no VM suspects anything")
+def check_none_suspected(context: Any) -> None:
+    for run in context.runs:
+        assert sum(count for result, count in run.sound.items() if "broken" in result) > 0
+        for vm, quarantine in run.vms.items():
+            quarantine.tick()
+            suspects = quarantine._evidence.list_suspects(run.clock.seconds())
+            assert not suspects, (vm, suspects)
+
+
 @then(
     "at most {count:d} sends of each reach engines later than {s:g} seconds "
     "after it has crashed the third, and no VM convicts anything else"
--- a/tests/steps/simulated_quarantine.py
+++ b/tests/steps/simulated_quarantine.py
@@ -57,8 +57,9 @@
 
 @dataclass(kw_only=True, eq=False)
 class OpenAttempt:
-    """One request at an engine; ``ended`` means that the engine crashed under it."""
+    """One request of a VM at an engine; ``ended`` means that its connection broke."""
 
+    vm: str
     ended: bool = False
 
 
@@ -86,7 +87,10 @@
 
 
 class SimulatedQuarantines:
-    """VMs, engines and requests; ``cut`` VMs hear no peers."""
+    """VMs, engines and requests; ``cut`` VMs hear no peers, ``refused`` get no new connections.
+
+    Deadly requests come at ``deadly_vms``, if any are named.
+    """
 
     def __init__(self, *, seed: int, vms: int, engines: int, loss: float = 0.03) -> None:
         self.rng = random.Random(seed)
@@ -94,6 +98,8 @@
         self.clock.advance(100.0)
         self.loss = loss
         self.cut: set[str] = set()
+        self.refused: set[str] = set()
+        self.deadly_vms: list[str] = []
         self.born = 0
         self.engines = [self._make_engine() for _ in range(engines)]
         self.kind = KINDS["idempotent"]
@@ -113,14 +119,16 @@
         clock: Any = self.clock
         link: Any = SimpleNamespace(
             broadcast=lambda message: self._broadcast(vm, message),
-            send=lambda message, peers: None,
+            send=lambda message, peers: self._send(vm, message, peers),
+            list_crash_question_peers=lambda: [name for name in self.vms if name != vm],
             peers={},
         )
         quarantine = Quarantine(
             reactor=clock,
             vm=vm,
             pool=SimpleNamespace(  # type: ignore[arg-type]
-                open=self._open, release=lambda address, connection: None
+                open=lambda address: self._open(vm, address),
+                release=lambda address, connection: None,
             ),
             directory=SimpleNamespace(  # type: ignore[arg-type]
                 of_service=lambda name: self.engines,
@@ -133,11 +141,18 @@
             measure_store_silence_s=lambda: 0.0,
         )
         quarantine._random.seed(self.rng.random())
+        quarantine.list_helpers = lambda service: [
+            name for name in self.vms if name not in self.refused
+        ]
         return quarantine
 
     def _broadcast(self, vm: str, message: Any) -> None:
+        self._send(vm, message, list(self.vms))
+
+    def _send(self, vm: str, message: Any, peers: list[str]) -> None:
         data = encode_message(message)
-        for peer, quarantine in self.vms.items():
+        for peer in peers:
+            quarantine = self.vms[peer]
             if peer == vm or peer in self.cut or vm in self.cut:
                 continue
             self.datagrams += 1
@@ -151,9 +166,11 @@
                 item = StoredItem(key=key, value=value, revision=1)
                 self.clock.callLater(STORE_S, quarantine.apply_stored_item, item)
 
-    async def _open(self, address: tuple[str, int]) -> Any:
+    async def _open(self, vm: str, address: tuple[str, int]) -> Any:
         await self._pause(HOP_S)
-        if any(engine.alive and engine.address == address for engine in self.engines):
+        if vm not in self.refused and any(
+            engine.alive and engine.address == address for engine in self.engines
+        ):
             return SimpleNamespace(usable=True)
         error = UpstreamNotReachedError(reason="Refused.", remedy="")
         raise error from ConnectionRefusedError()
@@ -199,12 +216,19 @@
             attempt.ended = True
         self.clock.callLater(BACK_S, self._replace, engine)
 
+    def reset_links(self, vm: str) -> None:
+        """Break all requests that a VM has at engines."""
+        for engine in self.engines:
+            for attempt in engine.open_attempts:
+                attempt.ended = attempt.ended or attempt.vm == vm
+
     def _replace(self, engine: SimulatedEngine) -> None:
         self.engines[self.engines.index(engine)] = self._make_engine()
 
     def _request(self, second: str, name: str | None = None) -> None:
         """Send a request; those of one name are the same request each time."""
-        vm = self.rng.choice(list(self.vms))
+        deadly = second == DEADLY_PART or (name or "").startswith(DEADLY_REQUEST)
+        vm = self.rng.choice((deadly and self.deadly_vms) or list(self.vms))
         self.sent += 1
         job = SimpleNamespace(
             service=SERVICE,
@@ -220,7 +244,6 @@
             excluded_upstreams=set(),
             probe_upstreams=None,
         )
-        deadly = second == DEADLY_PART or job.digest.startswith(DEADLY_REQUEST)
         start_coroutine(self._serve(self.vms[vm], job, deadly))
 
     async def _serve(self, quarantine: Quarantine, job: Any, deadly: bool) -> None:
@@ -247,7 +270,7 @@
         engine: Any = self.rng.choice(allowed) if allowed else None
         if engine is None or not quarantine.may_send(job, engine):
             return "not sent"
-        attempt = OpenAttempt()
+        attempt = OpenAttempt(vm=quarantine._vm)
         engine.open_attempts.append(attempt)
         job.last_sent_at = self.clock.seconds()
         quarantine.begin(job, engine)
