Answer HEAD without a body, and never leave an ended exchange's connection busy

Cause: local answers to HEAD were written with their body. h11 raises after the head, so that the exchange was not ended and the connection stayed busy without a timer.

Change: no body for HEAD, 204 and 304; the length that an upstream names for HEAD is passed on. An answer that HTTP cannot carry, and the end of a request's handling without an answer, close the connection and are logged.

--- a/src/cactusshunt/http1/caller_connection.py
+++ b/src/cactusshunt/http1/caller_connection.py
@@ -27,6 +27,7 @@
 from cactusshunt.http1.sockets import tune_socket
 from cactusshunt.http1.source_gate import SourceGate
 from cactusshunt.http1.source_gate import WrittenNotice
+from cactusshunt.node_log import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,6 +40,7 @@
 CALLER_USER_TIMEOUT_MS = 5000  # mobile links may stall for seconds
 TRANSPORT_BUFFER_BYTES = 65_536  # a transport with more to write tells when that was written
 HEAD_TOO_LARGE = 431
+STATUSES_WITHOUT_BODY = (204, 304)  # RFC 9110, section 6.4.1
 FULL_RETRY_AFTER = b"0.5"  # seconds; bodies are usually read within it
 MAX_EARLY_BYTES = 65_536  # of input that is not parsed yet, such as the next requests
 # In process memory: a connection with its parser and timer takes 7 KB by tracemalloc, and a socket;
@@ -91,6 +93,8 @@
 class CallerConnection(Protocol):
     """Parses requests of one caller and writes answers, one request at a time.
 
+    An exchange that ends leaves the connection free for the next request, or closed;
+    ``exchange_number`` tells one from the next.
     ``gate`` pauses the source of an answer that is written in parts while the caller does not read.
     ``budget`` bounds the bodies of all callers, and the answers that are kept whole. ``guard``
     bounds what all connections hold, and their number; ``turns`` the time that parsing takes.
@@ -112,6 +116,8 @@
         self._limits = limits
         self._request: h11.Request | None = None
         self._in_chunks = False
+        self._method = b""  # of the request that is answered
+        self.exchange_number = 0
         self._body = bytearray()
         self._unparsed = bytearray()
         self._unread = False  # the transport's buffer is full of responses
@@ -252,13 +258,21 @@
             on_disconnect()
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Write a complete answer."""
+        """Write a complete answer.
+
+        One to HEAD has no body, but the length that it would have: that of ``body``, or the
+        ``Content-Length`` in ``headers``, as an upstream sent it.
+        """
         if self._lost:
             return
-        framed = [*headers, (b"Content-Length", str(len(body)).encode())]
+        framed = headers
+        if not any(name.lower() == b"content-length" for name, _ in headers):
+            length = (b"Content-Length", str(len(body)).encode())
+            framed = [*headers, length] if status not in STATUSES_WITHOUT_BODY else headers
         self._count_until_written(len(body))
         self._send_head(status, framed)
-        self._send(h11.Data(data=body))
+        if self._has_body(status):
+            self._send(h11.Data, data=body)
         self.finish()
 
     def write_head(self, status: int, headers: Headers) -> None:
@@ -268,17 +282,22 @@
         self._chunked = True
         self._answer_memory.release()
         self._register_producer(self.gate)
-        self._send_head(status, [*headers, (b"Transfer-Encoding", b"chunked")])
+        if status not in STATUSES_WITHOUT_BODY:
+            headers = [*headers, (b"Transfer-Encoding", b"chunked")]
+        self._send_head(status, headers)
 
     def write(self, data: bytes) -> None:
         """Write a part of the answer's body."""
-        self._send(h11.Data(data=data))
+        self._send(h11.Data, data=data)
+
+    def _has_body(self, status: int) -> bool:
+        return self._method != b"HEAD" and status not in STATUSES_WITHOUT_BODY
 
     def finish(self) -> None:
         """End the answer and wait for the next request."""
         if self._lost:
             return
-        self._send(h11.EndOfMessage())
+        self._send(h11.EndOfMessage)
         self._release_source()
         self._request_memory.release()
         self.on_disconnect = None
@@ -297,6 +316,14 @@
         self.busy = False
         self._abort_transport()
 
+    def end_unanswered(self, exchange_number: int) -> None:
+        """End the connection if an exchange that is over has left its request unanswered."""
+        if self._lost or self._closing or not self.busy:
+            return
+        if exchange_number == self.exchange_number:
+            log_event("exchange_unanswered", method=self._method.decode("latin-1"))
+            self.abort()
+
     def close_idle(self, idle_since: float) -> None:
         """Close the connection if no request is being read or answered since a reactor time."""
         if not self.busy and not self.receiving and self._idle_since <= idle_since:
@@ -316,7 +343,7 @@
         event = self._http.next_event()
         if event is h11.NEED_DATA or event is h11.PAUSED:
             if self._http.they_are_waiting_for_100_continue:
-                self._send(h11.InformationalResponse(status_code=100, headers=[]))
+                self._send(h11.InformationalResponse, status_code=100, headers=[])
             return False
         if isinstance(event, h11.ConnectionClosed):
             return False
@@ -425,6 +452,8 @@
             body=bytes(self._body),
             arrived_at=self._arrived_at,
         )
+        self._method = self._request.method
+        self.exchange_number += 1
         self._request = None
         self._body = bytearray()
         self._arrived_at = 0.0
@@ -435,12 +464,19 @@
     def _send_head(self, status: int, headers: Headers) -> None:
         if self._handler.stopping():
             headers = [*headers, (b"Connection", b"close")]
-        self._send(h11.Response(status_code=status, headers=headers))
+        self._send(h11.Response, status_code=status, headers=headers)
 
-    def _send(self, event: Any) -> None:
-        if self._lost:
+    def _send(self, kind: Any, **fields: Any) -> None:
+        """Write a part of an answer; one that HTTP cannot carry ends the connection."""
+        if self._lost or self._closing:
+            return
+        try:
+            payload = self._http.send(kind(**fields))
+        except h11.LocalProtocolError as error:
+            method = self._method.decode("latin-1")
+            log_event("answer_unwritable", method=method, reason=str(error))
+            self._abort_transport()
             return
-        payload = self._http.send(event)
         if payload:
             transport: Any = self.transport
             transport.write(payload)
@@ -454,8 +490,8 @@
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
             headers += extra_headers or []
-            self._send(h11.Response(status_code=status, headers=headers))
-            self._send(h11.EndOfMessage())
+            self._send(h11.Response, status_code=status, headers=headers)
+            self._send(h11.EndOfMessage)
         self._close()
 
     def _restrict_self(self, status: int, restriction: Restriction) -> None:
--- a/src/cactusshunt/platform/headers.py
+++ b/src/cactusshunt/platform/headers.py
@@ -48,6 +48,7 @@
 RESUMES = b"resumes"  # ID of the caller's attempt that brought the stream's first event
 DETOUR_NOT_RUN, DETOUR_UNKNOWN = b"not-run", b"unknown"  # the request did not run, or may have
 CONTENT_ENCODING = b"content-encoding"
+CONTENT_LENGTH = b"content-length"
 CONTENT_TYPE = b"content-type"
 KEEP_ALIVE = b"keep-alive"
 
@@ -83,7 +84,7 @@
         b"trailer",
         b"transfer-encoding",
         b"upgrade",
-        b"content-length",
+        CONTENT_LENGTH,
         b"expect",
         DETOUR_RESULT,
         STREAM_VERSION,
--- a/src/cactusshunt/requests/caller_requests.py
+++ b/src/cactusshunt/requests/caller_requests.py
@@ -41,6 +41,7 @@
 """Used before any configuration is known; the usual limits of HTTP servers."""
 MAX_JOBS_IN_FLIGHT = 2_000  # at about 20 KB each, 40 MB in all, well below a VM's memory
 RETRY_AFTER_S = 0.5
+TUNNEL_METHOD = b"CONNECT"  # asks for a tunnel, which no upstream of a route gives
 
 
 class CallerRequests:
@@ -146,6 +147,12 @@
         ``is_detour`` means that another VM passed it on, which has counted it.
         """
         request_id = names.find_header(request.headers, names.REQUEST_ID) or b""
+        if request.method == TUNNEL_METHOD:
+            answer = local_answers.build_rejection(request_id, "no tunnels")
+            if is_detour:
+                answer = local_answers.mark_for_peer(answer, ran=False)
+            connection.answer(*answer)
+            return
         if self._table is None:
             refusal = Refusal(reason="no configuration is known yet", retry_after_s=RETRY_AFTER_S)
             self._refuse(connection, request_id, refusal, is_detour)
@@ -222,6 +229,7 @@
     async def _run(self, job: Job) -> None:
         self._jobs.add(job)
         self.detours_in_flight += job.is_detour
+        exchange_number = job.connection.exchange_number
         try:
             # The VM that passed a request on has counted it.
             if job.is_detour or not _has_quota(job) or await self._admit_or_answer(job):
@@ -232,6 +240,8 @@
             job.sink.release_memory()
             self._jobs.discard(job)
             self.detours_in_flight -= job.is_detour
+            if not job.sink.holds_events:  # else its answer is complete once they are released
+                job.connection.end_unanswered(exchange_number)
 
     async def _admit_or_answer(self, job: Job) -> bool:
         """Return whether a request is relayed; else it is answered, also after an error here."""
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -414,7 +414,11 @@
         if sink.forwarding_started or (sink.succeeded and job.route.streams):
             sink.finish_stream()
             return
-        job.connection.answer(sink.status, names.select_forwarded_headers(sink.headers), sink.body)
+        headers = names.select_forwarded_headers(sink.headers)
+        length = names.find_header(sink.headers, names.CONTENT_LENGTH)
+        if job.request.method == b"HEAD" and length is not None:
+            headers = [*headers, (b"Content-Length", length)]
+        job.connection.answer(sink.status, headers, sink.body)
 
     def _refuse(self, job: Job, refusal: Refusal) -> None:
         job.retry_after_s = refusal.retry_after_s
