Tell the other VMs of upstreams that leave or come back by their entries

Cause, as far as shown: the rule counts from the first VM that reads it and binds all of them. Each VM read the store at times of its own, and one for which the store falls silent learns nothing.

Change: the first VM that reads that an entry is draining, gone or back tells the others with an EntryReport, ordered with what they read by era and revision. Before the bytes leave, the entry is asked again. Reports need message version 8.

Ruled out: reading more often, which does not help a VM that the store does not answer; a departure as for Server-Leaving, which only another start ends, while entries lapse and come back.

--- a/src/cactusshunt/membership/messages.py
+++ b/src/cactusshunt/membership/messages.py
@@ -353,6 +353,31 @@
     forward_in_zone: bool = False
 
 
+class EntryState(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What the store says of one run of an upstream, and the revision at which it does.
+
+    ``born`` is the start of the run as its entry gives it; ``state`` is that of the entry, empty if
+    the entry was removed.
+    """
+
+    upstream: str
+    born: int
+    revision: int
+    state: str
+
+
+class EntryReport(msgspec.Struct, frozen=True, kw_only=True, tag="e", array_like=True):
+    """Upstreams that left or came back, as a VM read in the store.
+
+    ``era`` is that of the revisions. With ``forward_in_zone`` as in ``PlacementUpdate``.
+    """
+
+    vm: str
+    era: int
+    entries: list[EntryState]
+    forward_in_zone: bool = False
+
+
 class StopQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="k", array_like=True):
     """A new order holder asks a former one whether it has stopped; the answer goes to the address.
 
@@ -388,6 +413,7 @@
     | PartReport
     | ConvictedPart
     | NoticeReport
+    | EntryReport
     | StopQuestion
     | StopAnswer
 )
@@ -399,6 +425,7 @@
     | PartReport
     | ConvictedPart
     | NoticeReport
+    | EntryReport
     | ZoneWork
 )
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/src/cactusshunt/membership/peer_link.py
+++ b/src/cactusshunt/membership/peer_link.py
@@ -17,6 +17,7 @@
 from cactusshunt.membership.messages import CrashQuestion
 from cactusshunt.membership.messages import CrashReport
 from cactusshunt.membership.messages import DemandReport
+from cactusshunt.membership.messages import EntryReport
 from cactusshunt.membership.messages import LimitReport
 from cactusshunt.membership.messages import NoticeReport
 from cactusshunt.membership.messages import PartReport
@@ -61,14 +62,16 @@
     PartReport: "parts",
     ConvictedPart: "convictions",
     NoticeReport: "notices",
+    EntryReport: "entries",
     StopQuestion: "stop_questions",
     StopAnswer: "stop_answers",
 }
 # What a VM's messages include beyond status, demand and placement: 1 nothing, 2 request limits,
 # 3 also crashes of engines; 4: the VM also accepts requests that others pass on; 5 also what
 # upstreams say of themselves; 6 also quotas of customers, and the customer of requests that are
-# passed on; 7 also the work of whole zones; 8 also questions on crashes of engines. Questions of
-# new order holders need none: VMs of earlier builds ignore them.
+# passed on; 7 also the work of whole zones; 8 also questions on crashes of engines, and
+# upstreams that left by their entries. Questions of new order holders need none: VMs of earlier
+# builds ignore them.
 MESSAGE_VERSION = 8
 LIMITS_MESSAGE_VERSION = 2
 CRASHES_MESSAGE_VERSION = 3
@@ -77,12 +80,14 @@
 CUSTOMERS_MESSAGE_VERSION = 6
 ZONE_WORK_MESSAGE_VERSION = 7
 CRASH_QUESTIONS_MESSAGE_VERSION = 8
+ENTRIES_MESSAGE_VERSION = 8
 NEEDED_MESSAGE_VERSION: dict[type[Message], int] = {
     LimitReport: LIMITS_MESSAGE_VERSION,
     CrashReport: CRASHES_MESSAGE_VERSION,
     PartReport: CRASHES_MESSAGE_VERSION,
     ConvictedPart: CRASHES_MESSAGE_VERSION,
     NoticeReport: NOTICES_MESSAGE_VERSION,
+    EntryReport: ENTRIES_MESSAGE_VERSION,
     ZoneWork: ZONE_WORK_MESSAGE_VERSION,
 }
 
--- a/src/cactusshunt/node_tasks.py
+++ b/src/cactusshunt/node_tasks.py
@@ -35,6 +35,7 @@
 from cactusshunt.membership.messages import CrashQuestion
 from cactusshunt.membership.messages import CrashReport
 from cactusshunt.membership.messages import DemandReport
+from cactusshunt.membership.messages import EntryReport
 from cactusshunt.membership.messages import LimitReport
 from cactusshunt.membership.messages import NoticeReport
 from cactusshunt.membership.messages import PartReport
@@ -55,6 +56,7 @@
 from cactusshunt.membership.zone_summaries import ZoneSummaries
 from cactusshunt.node_log import log_event
 from cactusshunt.node_state import NodeState
+from cactusshunt.notices.entry_reports import EntryReports
 from cactusshunt.notices.upstream_notices import UpstreamNotices
 from cactusshunt.placement.demand_meter import DemandMeter
 from cactusshunt.placement.order_task import OrderTask
@@ -128,6 +130,9 @@
             link=self.link,
             drain_s=bounds.drain_ms / 1000.0,
         )
+        self.entry_reports = EntryReports(
+            reactor=reactor, vm=settings.node, directory=self.directory, link=self.link
+        )
         self.membership = MembershipTask(
             reactor=reactor,
             store=self._lease_store,
@@ -301,6 +306,7 @@
             PartReport: self.quarantine.apply_message,
             ConvictedPart: self.quarantine.apply_message,
             NoticeReport: self.notices.apply_message,
+            EntryReport: self.entry_reports.apply_message,
             StopQuestion: self.membership.answer_question,
             StopAnswer: self.membership.record_stop_answer,
         }
--- a/src/cactusshunt/requests/relay.py
+++ b/src/cactusshunt/requests/relay.py
@@ -213,7 +213,7 @@
         if (
             job.done
             or job.connection.disconnected
-            or upstream.removed_at is not None
+            or not self._directory.may_use(upstream)
             or job.stream_version not in (None, upstream.software_version)
         ):
             self._pool.release(upstream.address, connection)
--- a/src/cactusshunt/routing/upstream.py
+++ b/src/cactusshunt/routing/upstream.py
@@ -81,6 +81,7 @@
         self.entry = entry
         self.address: Address = split_address(entry.address)
         self.removed_at: float | None = None
+        self.told_gone = False  # another VM has read that its entry was removed, this one has not
         self.leaving = False  # an answer of this start, or perhaps of it, said so
         self.paused_until = 0.0  # it wants no request of this VM or another one
         self.request_limit_per_s: float | None = None  # of all VMs together
--- a/src/cactusshunt/routing/upstream_directory.py
+++ b/src/cactusshunt/routing/upstream_directory.py
@@ -18,6 +18,7 @@
 from cactusshunt.platform.documents import UPSTREAMS_PREFIX
 from cactusshunt.platform.documents import decode_upstream_entry
 from cactusshunt.platform.documents import is_upstream_name
+from cactusshunt.routing.entry_positions import EntryPositions
 from cactusshunt.routing.restored_entries import RestoredEntries
 from cactusshunt.routing.upstream import PEER_REPORT_MAX_AGE_S
 from cactusshunt.routing.upstream import HeldItems
@@ -26,10 +27,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
+    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from cactusshunt.membership.messages import EngineItems
     from cactusshunt.membership.messages import EngineWork
+    from cactusshunt.membership.messages import EntryState
     from cactusshunt.membership.messages import PlannedLoads
     from cactusshunt.membership.messages import Status
     from cactusshunt.membership.messages import ZoneWork
@@ -41,6 +44,7 @@
 # write it to the store each second, and it is seen up to 1 s later.
 HOLDER_UPDATE_MAX_AGE_S = 3.0
 ZONE_PREFIX = "zone/"  # before the name of a zone whose VMs' work is known as one sum; no VM's name
+GONE = "gone"  # in the log, in place of an entry's state
 REMOVED_ENTRY_DRAIN_FRACTION = 0.6  # time to the deletion of a removed upstream / drain_s
 
 
@@ -60,7 +64,7 @@
     ``drain_s`` is the time limit drain_ms of the settings, in seconds.
     ``on_change`` is called after each change of an upstream's entry or items, ``wake_later`` with
     the seconds after which an adapter is expected, ``on_expired`` with each upstream that is
-    deleted.
+    deleted, ``on_turn`` with the name of one that left or came back as the store says.
     """
 
     def __init__(self, *, drain_s: float, clock: Callable[[], float]) -> None:
@@ -69,6 +73,7 @@
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: defaultdict[str, dict[str, Upstream]] = defaultdict(dict)
         self._restored = RestoredEntries()
+        self._positions = EntryPositions()
         self._departures = Departures()
         self._last_reports: dict[str, _LastReport] = {}  # by reporting VM or zone
         self._old_reports_due_at = 0.0
@@ -77,6 +82,7 @@
         self.on_change: Callable[[], None] = lambda: None
         self.wake_later: Callable[[float], None] = lambda seconds: None
         self.on_expired: Callable[[Upstream], None] = lambda upstream: None
+        self.on_turn: Callable[[str], None] = lambda name: None
 
     def all(self) -> list[Upstream]:
         """Return all upstreams whose entry was not removed."""
@@ -101,15 +107,25 @@
         """Delete upstreams removed long ago; return those of a service that may get requests.
 
         Upstreams whose entry was removed recently are returned only if there are no others: after
-        an outage of the store, the entries of running upstreams expire and reappear.
+        an outage of the store, the entries of running upstreams expire and reappear. The same holds
+        for those of which another VM says so.
         """
         self._apply_deferred_changes()
         self._expire()
         self._forget_old_reports()
         ready = [found for found in self._by_service[service].values() if found.ready]
-        registered = [found for found in ready if found.removed_at is None]
+        registered = [found for found in ready if _is_registered(found)]
         return registered or ready
 
+    def may_use(self, upstream: Upstream) -> bool:
+        """Return whether an upstream that was chosen may still get a request, by its entry."""
+        if upstream.removed_at is not None or upstream.entry.state != READY:
+            return False
+        return not upstream.told_gone or not any(
+            found.ready and _is_registered(found)
+            for found in self._by_service[upstream.entry.service].values()
+        )
+
     def list_leaving(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service whose answers say that they leave."""
         return [found for found in self.of_service(service) if found.leaving]
@@ -171,17 +187,57 @@
         if item.value is not None:
             entry = decode_upstream_entry(item.value) if is_upstream_name(name) else None
             if entry is None:
-                self._discard(name)
+                self._discard(name, item)
                 return
         if self._restored.defer(name, item, entry, self._clock()):
             log_event("entry_deferred", upstream=name, missing=entry is None)
             return
+        if item.from_copy:
+            self._positions.forget(name)
+        elif self._positions.is_outdated(name, item.position, self._clock()):
+            log_event("entry_outdated", upstream=name, revision=item.revision)
+            return
+        before = self._positions.find(name)
         if entry is None:
-            self._remove(name)
+            self._remove(name, item)
         else:
-            self._apply_entry(name, self._keep_draining(name, entry) if item.from_copy else entry)
+            self._apply_entry(
+                name, self._keep_draining(name, entry) if item.from_copy else entry, item
+            )
+        if not item.from_copy and _has_turned(before, self._positions.find(name)):
+            self.on_turn(name)
         self.on_change()
 
+    def apply_told_state(self, state: EntryState, *, era: int, source: str) -> bool:
+        """Apply what another VM has read of an entry; return whether this VM knows it now.
+
+        Only the state is taken over: a run that this VM has not read of stays unknown.
+        """
+        found = self._upstreams.get(state.upstream)
+        if found is None or found.entry.born != state.born:
+            return False
+        if not self._positions.record_told(state, era, self._clock()):
+            return self._positions.is_known(state, era)
+        found.told_gone = not state.state
+        if found.told_gone:
+            self._restored.record_removal(found.name, state.born, self._clock())
+        else:
+            found.entry = msgspec.structs.replace(found.entry, state=state.state)
+            found.removed_at = None
+        log_event(
+            "upstream_told",
+            upstream=state.upstream,
+            state=state.state or GONE,
+            revision=state.revision,
+            source=source,
+        )
+        self.on_change()
+        return True
+
+    def list_read_states(self, names: Iterable[str]) -> list[tuple[int, EntryState]]:
+        """Return what the entries of upstreams say as far as this VM knows, each with its era."""
+        return self._positions.list_states(names)
+
     def apply_engine_items(self, engine_items: EngineItems, token: int) -> None:
         """Apply the order holder's update about one engine, unless a later one is known."""
         found = self._upstreams.get(engine_items.upstream)
@@ -301,14 +357,14 @@
             return entry
         return msgspec.structs.replace(entry, state=found.entry.state)
 
-    def _apply_entry(self, name: str, entry: UpstreamEntry) -> None:
+    def _apply_entry(self, name: str, entry: UpstreamEntry, item: StoredItem) -> None:
         found = self._upstreams.get(name)
         if found is None:
             found = Upstream(name=name, entry=entry)
             self._upstreams[name] = found
             log_event("upstream_seen", upstream=name, service=entry.service, state=entry.state)
         elif found.entry.state != entry.state:
-            log_event("upstream_state", upstream=name, state=entry.state)
+            log_event("upstream_state", upstream=name, state=entry.state, revision=item.revision)
         if found.entry.born != entry.born:
             log_event("upstream_restarted", upstream=name, born=entry.born)
             found.reset_after_restart()
@@ -318,6 +374,8 @@
         found.leaving = self.find_departure(found) is not None
         found.address = split_address(entry.address)
         found.removed_at = None
+        found.told_gone = False
+        self._positions.record_read(name, item.position, entry.born, entry.state)
         self._apply_reported_models(found, entry)
 
     def _show_departure(self, name: str) -> None:
@@ -352,18 +410,19 @@
             if "/" in item and at > now:
                 self.wake_later(at - now + 0.001)
 
-    def _remove(self, name: str) -> None:
+    def _remove(self, name: str, item: StoredItem) -> None:
         found = self._upstreams.get(name)
         if found is not None and found.removed_at is None:
             found.removed_at = self._clock()
             self._restored.record_removal(name, found.entry.born, found.removed_at)
-            log_event("upstream_gone", upstream=name)
+            self._positions.record_read(name, item.position, found.entry.born, "")
+            log_event("upstream_gone", upstream=name, revision=item.revision)
 
-    def _discard(self, name: str) -> None:
+    def _discard(self, name: str, item: StoredItem) -> None:
         """Stop using an upstream whose entry was replaced by one that names none."""
         log_event("entry_unreadable", upstream=name)
         self._restored.forget(name)
-        self._remove(name)
+        self._remove(name, item)
         found = self._upstreams.get(name)
         if found is not None:
             # Not even if there are no others: the next ``usable`` deletes it.
@@ -382,5 +441,17 @@
             self.on_expired(found)
 
 
+def _has_turned(before: EntryState | None, after: EntryState | None) -> bool:
+    """Return whether a run that was known has left, or come back, by its entry."""
+    if before is None or after is None or before.born != after.born:
+        return False
+    return (before.state == READY) != (after.state == READY)
+
+
+def _is_registered(upstream: Upstream) -> bool:
+    """Return whether an upstream has an entry, as far as this VM or another one has read."""
+    return upstream.removed_at is None and not upstream.told_gone
+
+
 def _run_of(upstream: Upstream) -> Run:
     return Run(upstream=upstream.name, born=upstream.entry.born)
