Reject answers whose status is not from 200 to 599

Callers saw answers with statuses of 600 and 999 from engines in trouble as answers (MIXED); 000 never reached one.

Cause: h11 takes any three digits from 200 on, and nothing asked whether they are a status.

Change: the connection rejects them before any receiver judges the head, so for callers, detours and own calls alike.

"An answer whose status is none is rejected" drives 1,005 statuses through a connection; it fails with 600 before.

--- a/src/cactusshunt/http1/upstream_connection.py
+++ b/src/cactusshunt/http1/upstream_connection.py
@@ -34,6 +34,7 @@
 MAX_STRAY_ANSWERS = 2  # before the answer to a request, each an earlier one written once more
 MAX_STRAY_BYTES = 1_048_576  # of their bodies
 MAX_CARRIED = 256  # remembered IDs of earlier requests on a connection
+STATUSES = range(200, 600)  # of answers: RFC 9110, section 15, defines five classes of codes
 MAX_HEAD_BYTES = 65_536  # four times the 16,384 that callers may send without a configuration
 
 
@@ -279,6 +280,10 @@
         if isinstance(self._http._reader, ChunkedReader):
             self._http._reader = MergingChunkReader()
         headers = event.headers.raw_items()
+        if event.status_code not in STATUSES:
+            self._answer_begun = True
+            self._reject_answer()
+            return
         if self._stray_answers < MAX_STRAY_ANSWERS and self._receiver.is_stray(headers):
             self._stray_answers += 1
             self._skipping = True
--- a/tests/http1/connections.feature
+++ b/tests/http1/connections.feature
@@ -22,6 +22,11 @@
     Then a cut-off answer is incomplete, unless its head arrived and a clean close marks its end
     And an answer that is not cut off is complete
 
+  # Guards against an odd status that reaches a caller as an answer.
+  Scenario: An answer whose status is none is rejected
+    Given answers with each status from 000 to 999, and with some that are no number of three digits
+    Then only those from 200 to 599 are received, and the others end the exchange as malformed
+
   Scenario: Bytes after a complete answer end the connection
     Given an upstream connection whose answer is complete
     When more bytes arrive
--- a/tests/steps/connection_steps.py
+++ b/tests/steps/connection_steps.py
@@ -233,6 +233,25 @@
     check()
 
 
+@given("answers with each status from 000 to 999, and with some that are no number of three digits")
+def make_statuses(context: Any) -> None:
+    context.statuses = [f"{number:03}" for number in range(1000)] + ["20", "1000", "2x0", "-20", ""]
+
+
+@then("only those from 200 to 599 are received, and the others end the exchange as malformed")
+def check_statuses(context: Any) -> None:
+    for status in context.statuses:
+        answer = f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok".encode()
+        end, body = exchange(answer, [], ConnectionDone())
+        if "200" <= status <= "599" and len(status) == 3 and status.isdigit():
+            assert end is ExchangeEnd.COMPLETE, (status, end)
+            assert body == (b"" if status in ("204", "304") else b"ok"), (status, body)
+        else:
+            # What looks like an interim head is none without the answer that should follow.
+            ends = (ExchangeEnd.MALFORMED, ExchangeEnd.UNANSWERED)
+            assert end in ends and not body, (status, end, body)
+
+
 @given("an upstream connection whose answer is complete")
 def complete_answer(context: Any) -> None:
     context.connection = UpstreamConnection()
