--- a/src/cactusshunt/notices/entry_reports.py
+++ b/src/cactusshunt/notices/entry_reports.py
@@ -35,7 +35,7 @@
         self._link = link
         self._random = random.Random()
         self._unreported: set[str] = set()  # names of upstreams
-        directory.on_turn = self.report_later
+        directory.on_left_or_back = self.report_later
 
     def report_later(self, upstream: str) -> None:
         """Tell the other VMs of an upstream, unless one of them has told this VM by then."""
--- a/src/cactusshunt/quarantine/engine_crashes.py
+++ b/src/cactusshunt/quarantine/engine_crashes.py
@@ -165,7 +165,7 @@
         crash = Crash(upstream=run[0], born=run[1], version=str(upstream.entry.version))
         self._begin_check(upstream, crash, job.service, subjects)
 
-    def answer(self, question: CrashQuestion) -> None:
+    def answer_question(self, question: CrashQuestion) -> None:
         """Check an engine for a VM whose links may be cut; a crash is reported to all VMs."""
         crash = Crash(upstream=question.upstream, born=question.born, version=question.version)
         subjects = {Subject(service=question.service, name=name) for name in question.parts}
@@ -181,7 +181,7 @@
         else:
             self._begin_check(found, crash, question.service, subjects)
 
-    def find_next_starts(self) -> None:
+    def report_next_starts(self) -> None:
         """Report the runs in question whose engines have started again."""
         for unproven in self._unproven.take_ended(self._now()):
             self._report_crash(
--- a/src/cactusshunt/quarantine/quarantine.py
+++ b/src/cactusshunt/quarantine/quarantine.py
@@ -285,7 +285,7 @@
 
     @apply_message.register
     def _apply_question(self, question: CrashQuestion) -> None:
-        self._crashes.answer(question)
+        self._crashes.answer_question(question)
 
     @apply_message.register
     def _apply_subject_report(self, report: PartReport) -> None:
@@ -324,7 +324,7 @@
         new_peers, self._known_peers = peers - self._known_peers, peers
         if new_peers and not self._evidence.is_empty:
             self._inform(sorted(new_peers), now)
-        self._crashes.find_next_starts()
+        self._crashes.report_next_starts()
         self._convictions.end_expired(now)
 
     def describe(self, now: float) -> list[dict[str, Any]]:
--- a/src/cactusshunt/routing/upstream_directory.py
+++ b/src/cactusshunt/routing/upstream_directory.py
@@ -64,7 +64,7 @@
     ``drain_s`` is the time limit drain_ms of the settings, in seconds.
     ``on_change`` is called after each change of an upstream's entry or items, ``wake_later`` with
     the seconds after which an adapter is expected, ``on_expired`` with each upstream that is
-    deleted, ``on_turn`` with the name of one that left or came back as the store says.
+    deleted, ``on_left_or_back`` with the name of one that left or came back as the store says.
     """
 
     def __init__(self, *, drain_s: float, clock: Callable[[], float]) -> None:
@@ -82,7 +82,7 @@
         self.on_change: Callable[[], None] = lambda: None
         self.wake_later: Callable[[float], None] = lambda seconds: None
         self.on_expired: Callable[[Upstream], None] = lambda upstream: None
-        self.on_turn: Callable[[str], None] = lambda name: None
+        self.on_left_or_back: Callable[[str], None] = lambda name: None
 
     def all(self) -> list[Upstream]:
         """Return all upstreams whose entry was not removed."""
@@ -204,8 +204,8 @@
             self._apply_entry(
                 name, self._keep_draining(name, entry) if item.from_copy else entry, item
             )
-        if not item.from_copy and _has_turned(before, self._positions.find(name)):
-            self.on_turn(name)
+        if not item.from_copy and _has_left_or_come_back(before, self._positions.find(name)):
+            self.on_left_or_back(name)
         self.on_change()
 
     def apply_told_state(self, state: EntryState, *, era: int, source: str) -> bool:
@@ -441,7 +441,7 @@
             self.on_expired(found)
 
 
-def _has_turned(before: EntryState | None, after: EntryState | None) -> bool:
+def _has_left_or_come_back(before: EntryState | None, after: EntryState | None) -> bool:
     """Return whether a run that was known has left, or come back, by its entry."""
     if before is None or after is None or before.born != after.born:
         return False
--- a/tests/steps/crash_doubt_steps.py
+++ b/tests/steps/crash_doubt_steps.py
@@ -105,7 +105,7 @@
 def start_again(context: Any, what: str, seconds: float) -> None:
     if what == "it says that it leaves":
         write_entry(context.directory, "e1", BORN, state="draining")
-        context.crashes.find_next_starts()
+        context.crashes.report_next_starts()
     elif what == "the request is answered elsewhere":
         context.evidence.record_completion(context.subject, context.clock.seconds())
     else:
@@ -114,9 +114,9 @@
     while waited_s < seconds:
         context.clock.advance(1.0)
         waited_s += 1.0
-        context.crashes.find_next_starts()
+        context.crashes.report_next_starts()
     write_entry(context.directory, "e1", BORN + 1)
-    context.crashes.find_next_starts()
+    context.crashes.report_next_starts()
 
 
 @then("its crash under the request {verdict}")
