Count a departure from the first notice of the upstream's name

Users saw: requests still reached a back end that had said it was leaving (DRAIN).

The same process said again that it leaves, which was recorded for that start, as known from then on; the latest departure decided until when the engine may get what no other can take.

Change: the first departure of the name counts until a start was shown to stay. Whether a start stays is still judged against the latest one.

"An engine that leaves says so again while its entry shows an earlier start" fails before; so does the mutant.

--- a/src/cactusshunt/notices/departures.py
+++ b/src/cactusshunt/notices/departures.py
@@ -37,13 +37,17 @@
         self._staying: dict[str, Run] = {}  # by upstream: a run that does not leave
 
     def find(self, run: Run) -> Departure | None:
-        """Return the departure that counts for a run, ``None`` if it may be used."""
+        """Return the departure that counts for a run, ``None`` if it may be used.
+
+        That is the first one of the upstream since one of its runs was shown to stay: later ones
+        may be what the same process says again, recorded for another run.
+        """
         known = self._departures.get(run.upstream)
         if not known:
             return None
         if run not in known and self._staying.get(run.upstream) == run:
             return None
-        return known.get(run) or max(known.values(), key=lambda each: each.known_since)
+        return min(known.values(), key=lambda each: each.known_since)
 
     def is_doubtful(self, run: Run) -> bool:
         """Return whether only another run of the upstream's name is known to leave."""
@@ -58,8 +62,9 @@
         known = self._departures.setdefault(run.upstream, {})
         if run in known:
             return False
+        if self._staying.pop(run.upstream, None) == run:
+            known.clear()  # what was said before, another process had said
         known[run] = departure
-        self._staying.pop(run.upstream, None)
         if len(self._departures) > MAX_DEPARTURES:
             forgotten, _ = self._departures.popitem(last=False)
             self._staying.pop(forgotten, None)
@@ -70,8 +75,9 @@
 
         It shows that the run stays if the request was sent after the departure was known.
         """
-        departure = self.find(run)
-        if departure is None or not self.is_doubtful(run) or sent_at <= departure.known_since:
+        if not self.is_doubtful(run):
+            return False
+        if sent_at <= max(each.known_since for each in self._departures[run.upstream].values()):
             return False
         self._staying[run.upstream] = run
         return True
--- a/tests/steps/reborn_engine_steps.py
+++ b/tests/steps/reborn_engine_steps.py
@@ -126,6 +126,46 @@
     show_start(context, context.unix_ms - UP_MS - CLOCK_ERROR_MS, from_copy=False)
 
 
+@when("its entry shows its start again")
+def show_own_start(context: Any) -> None:
+    show_start(context, context.born, from_copy=False)
+
+
+@when("{seconds:g} seconds later it says again that it leaves")
+def say_again(context: Any, seconds: float) -> None:
+    answer_later(context, seconds, [(b"Server-Leaving", b"1")])
+
+
+@when("{seconds:g} seconds later it says that it does not leave")
+def say_staying(context: Any, seconds: float) -> None:
+    answer_later(context, seconds, [])
+
+
+def answer_later(context: Any, seconds: float, headers: list[tuple[bytes, bytes]]) -> None:
+    """Let the run that the entry shows answer a request that is sent some time later."""
+    context.clock.advance(seconds)
+    run = context.notices.find_run("e1")
+    sent_at = context.clock.seconds()
+    context.notices.record_answer(run, status=200, headers=headers, sent_at=sent_at)
+
+
+@then("a request that arrives now is not sent to it")
+def check_arrival_not_sent(context: Any) -> None:
+    assert not may_send_now(context)
+
+
+@then("a request that arrives now is sent to it if no other can take it")
+def check_arrival_sent(context: Any) -> None:
+    upstream = context.directory.find("e1")
+    assert upstream.leaving
+    assert may_send_now(context)
+
+
+def may_send_now(context: Any) -> bool:
+    upstream = context.directory.find("e1")
+    return bool(context.notices.may_send(upstream, context.clock.seconds()))
+
+
 @then("no request is sent to it")
 def check_not_sent(context: Any) -> None:
     context.clock.advance(DRAIN_S)
