--- a/tests/steps/quota_change_steps.py
+++ b/tests/steps/quota_change_steps.py
@@ -17,6 +17,7 @@
 from cactusshunt.customers.customer_usage import choose_group
 from cactusshunt.membership.messages import QuotaDoubt
 from cactusshunt.permits.permit_pool import Permit
+from tests.steps.quota_steps import EXCHANGE
 from tests.steps.quota_steps import RATES
 from tests.steps.quota_steps import find_issuer
 from tests.steps.quota_steps import make_arrived
@@ -198,7 +199,7 @@
 @when("a customer's request arrives and its refusal fails")
 def fail_refusal(context: Any) -> None:
     connection = SimpleNamespace(
-        disconnected=False, answer=lambda *answer: context.answers.append(answer)
+        disconnected=False, answer=lambda *answer: context.answers.append(answer), **EXCHANGE
     )
     job = make_arrived(b"r0", connection, make_customers(1, rate_per_s=10.0)[0], False)
     running = Deferred.fromCoroutine(context.callers._run(job))
--- a/tests/steps/quota_steps.py
+++ b/tests/steps/quota_steps.py
@@ -425,6 +425,7 @@
         connection = SimpleNamespace(
             budget=None,
             disconnected=False,
+            **EXCHANGE,
             answer=lambda *answer: context.answers.append(answer),
         )
         job = make_arrived(f"r{number}".encode(), connection, customer, number == 2)
@@ -437,6 +438,10 @@
     __hash__ = object.__hash__
 
 
+# What the end of a request's handling asks its connection for.
+EXCHANGE: dict[str, Any] = {"exchange_number": 1, "end_unanswered": lambda number: None}
+
+
 def make_arrived(request_id: bytes, connection: Any, customer: Customer, is_detour: bool) -> Any:
     found = _Arrived()
     found.__dict__.update(
@@ -454,7 +459,9 @@
         item="",
         outcomes=[],
         route=SimpleNamespace(name="r"),
-        sink=SimpleNamespace(release_memory=lambda: None, forwarding_started=False),
+        sink=SimpleNamespace(
+            release_memory=lambda: None, forwarding_started=False, holds_events=False
+        ),
     )
     return found
 
@@ -476,7 +483,7 @@
 
 @when("a customer's request ends without having been sent, and another was sent")
 def end_both(context: Any) -> None:
-    connection = SimpleNamespace(disconnected=False)
+    connection = SimpleNamespace(disconnected=False, **EXCHANGE)
     customer = make_customers(1, rate_per_s=10.0)[0]
     for request_id in (b"unsent", b"sent"):
         job = make_arrived(request_id, connection, customer, False)
@@ -494,7 +501,7 @@
 @when("a customer's request arrives and its admission fails")
 def fail_admission(context: Any) -> None:
     connection = SimpleNamespace(
-        disconnected=False, answer=lambda *answer: context.answers.append(answer)
+        disconnected=False, answer=lambda *answer: context.answers.append(answer), **EXCHANGE
     )
     job = make_arrived(b"r0", connection, make_customers(1, rate_per_s=10.0)[0], False)
     running = Deferred.fromCoroutine(context.callers._run(job))
