Wait for the nodes that start again before streams are compared

Cause: the step sent its 20 new streams as soon as the streams of before had ended. With one node killed of three these go on elsewhere at once, and the killed node may not listen yet: ConnectionRefusedError in the step.

The step waits until each killed node says that it is ready. The check is the same, and what it compares with can only be a larger share of new streams.

Ruled out: a fault of the product; the node that refuses is the one that the step has just started.

--- a/tests/steps/software_version_steps.py
+++ b/tests/steps/software_version_steps.py
@@ -297,6 +297,8 @@
         deployment.start_node(node)
     for thread in threads:
         thread.join()
+    for node in killed:
+        wait_until(partial(deployment.is_ready, node))
     context.new_streams = []
     for number in range(20):
         stream = Stream()
