Keep the errors and logs of failed scenarios

A failed scenario's last error lines are printed once more before the counts, with the log lines of requests that they name. The logs of its processes are copied to .failed-tests, which the next run clears. Verdicts and checks are unchanged.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(RUN)/behave tests $(ARGS)
 
 test: check
-	$(RUN)/behave tests $(ARGS) ; status=$$? ; cat .test-counts ; exit $$status
+	$(RUN)/behave tests $(ARGS) ; status=$$? ; cat .failed-tests/report.txt .test-counts ; exit $$status
 
 generate: setup
 	$(RUN)/python -W ignore -m cactusshunt.schema.generate
--- a/local/platform_deployment.py
+++ b/local/platform_deployment.py
@@ -304,9 +304,13 @@
                 process.kill()
                 process.wait(STOP_TIMEOUT_S)
         if keep_logs is not None:
-            shutil.copytree(self._folder.name, keep_logs, dirs_exist_ok=True)
+            self.copy_logs(keep_logs)
         self._folder.cleanup()
 
+    def copy_logs(self, folder: Path) -> None:
+        """Copy what the processes have written so far."""
+        shutil.copytree(self._folder.name, folder, dirs_exist_ok=True)
+
     def _knows_all_upstreams(self, node: str) -> bool:
         if not self.is_ready(node):
             return False
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -1,4 +1,4 @@
-"""Behave hooks: skip scenarios in KNOWN-RED.txt, count results, stop deployments."""
+"""Behave hooks: skip scenarios in KNOWN-RED.txt, count and report results, stop deployments."""
 
 from __future__ import annotations
 
@@ -11,6 +11,9 @@
 from hypothesis import HealthCheck
 from hypothesis import settings
 
+from tests.failure_reports import clear_reports
+from tests.failure_reports import report_failure
+
 if TYPE_CHECKING:
     from behave.model import Scenario
     from behave.runner import Context
@@ -38,6 +41,7 @@
 
 def before_all(context: Context) -> None:
     """Initialize the counts and the list of known failures."""
+    clear_reports()
     context.known_red = read_known_red()
     context.counts = {"passed": 0, "failed": 0, "skipped": 0}
     context.shared_deployment = None
@@ -52,13 +56,16 @@
 
 
 def after_scenario(context: Context, scenario: Scenario) -> None:
-    """Run the scenario's cleanups in reverse order and count its result."""
-    for cleanup in reversed(getattr(context, "cleanups", [])):
-        cleanup()
-    context.cleanups = []
+    """Count the scenario's result, report a failure, and run the cleanups in reverse order."""
     status = scenario.status.name
     key = status if status in context.counts else "failed"
     context.counts[key] += 1
+    if key == "failed":
+        deployment = getattr(context, "deployment", None)
+        report_failure(scenario, deployment if hasattr(deployment, "copy_logs") else None)
+    for cleanup in reversed(getattr(context, "cleanups", [])):
+        cleanup()
+    context.cleanups = []
 
 
 def after_all(context: Context) -> None:
