Print the revisions when the one in force is not the one that was put

The error names both and the history now; the logs of the older kind of deployment are kept as well. The check is the same.

--- a/local/deployment.py
+++ b/local/deployment.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import shutil
 import signal
 import subprocess
 import sys
@@ -247,6 +248,10 @@
                 process.wait()
         self.processes.clear()
 
+    def copy_logs(self, folder: Path) -> None:
+        """Copy what the processes have written so far."""
+        shutil.copytree(self.directory, folder, dirs_exist_ok=True)
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process if it still runs."""
         process = self.processes[name]
--- a/tests/failure_reports.py
+++ b/tests/failure_reports.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from behave.model import Scenario
 
+    from local.deployment import Deployment
     from local.platform_deployment import PlatformDeployment
 
 FOLDER = Path(__file__).resolve().parent.parent / ".failed-tests"
@@ -27,7 +28,7 @@
     REPORT_FILE.touch()
 
 
-def report_failure(scenario: Scenario, deployment: PlatformDeployment | None) -> None:
+def report_failure(scenario: Scenario, deployment: PlatformDeployment | Deployment | None) -> None:
     """Add a failed scenario to the report, and copy the logs of its deployment."""
     logs = FOLDER / f"{Path(scenario.filename).stem}-{scenario.line}"
     if deployment is not None:
--- a/tests/steps/console_steps.py
+++ b/tests/steps/console_steps.py
@@ -85,7 +85,8 @@
     history = json.loads(run_settings_command(context, "history", "teams/grid").output)
     assert history[-1]["revision"] == revision and history[-1]["author"] == "local", history
     state = json.loads(run_settings_command(context, "in-force", "teams/grid").output)
-    assert state["revision"] == revision and not state["not_resident"], state
+    found = (revision, state, [(each["revision"], each["generation"]) for each in history])
+    assert state["revision"] == revision and not state["not_resident"], found
     assert '"priority": 4' in context.difference.output, context.difference.output
 
 
